Add shared types and the replicated log, with its oracle

Cause: a thin path needs the types that every crate speaks and the log that makes its state durable. Change: crates/types, crates/consensus. Conclusion: the log is the base for both groups.

--- /dev/null
+++ b/crates/consensus/tests/rules.rs
@@ -0,0 +1,110 @@
+//! The rules that random histories seldom reach, each brought about by hand, with the rule in
+//! force and switched off.
+
+use consensus::{
+    Config, Entry, Envelope, HardState, Member, Message, Payload, Raft, Restored, Role, Tuning,
+    Weakening,
+};
+use std::time::Duration;
+
+const ME: u64 = 0;
+const PEER: u64 = 1;
+
+fn member(weakening: Weakening, entries: Vec<Entry>) -> Raft {
+    let members = (0..3).map(|id| Member { id, host: format!("h{id}"), role: Role::Voter });
+    let mut restored = Restored::formed(Config::new(members.collect()));
+    restored.hard_state = HardState { term: 2, vote: None, commit: 0 };
+    restored.entries = entries;
+    Raft::new(ME, Tuning { weakening, ..Tuning::default() }, restored, Duration::ZERO, 1)
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry { index, term, payload: Payload::Noop }
+}
+
+fn hear(raft: &mut Raft, millis: u64, term: u64, message: Message) {
+    raft.step(Duration::from_millis(millis), Envelope { from: PEER, to: ME, term, message });
+}
+
+fn elect(raft: &mut Raft) {
+    raft.tick(Duration::from_millis(1_100));
+    hear(raft, 1_101, 3, Message::PreVoteReply { granted: true });
+    hear(raft, 1_102, 3, Message::VoteReply { granted: true });
+    assert!(raft.is_leader());
+}
+
+/// Runs a case with the rule in force and without; the outcomes must differ as told.
+fn differs<F>(weakening: Weakening, case: F)
+where
+    F: Fn(Weakening) -> bool,
+{
+    assert!(case(Weakening::None), "the rule does not hold");
+    assert!(!case(weakening), "{weakening:?} makes no difference: the case proves nothing");
+}
+
+#[test]
+fn follower_refuses_entries_after_one_it_does_not_have() {
+    differs(Weakening::SkipPreviousEntryCheck, |weakening| {
+        let mut raft = member(weakening, vec![entry(1, 1), entry(2, 1)]);
+        let entries = vec![entry(3, 3)];
+        let message = Message::Append { prev_index: 2, prev_term: 2, entries, commit: 3, round: 1 };
+        hear(&mut raft, 1, 3, message);
+        raft.commit_index() == 0
+    });
+}
+
+#[test]
+fn leader_counts_only_entries_of_its_own_term() {
+    differs(Weakening::CommitEarlierTerm, |weakening| {
+        let mut raft = member(weakening, vec![entry(1, 1)]);
+        elect(&mut raft);
+        hear(&mut raft, 1_103, 3, Message::AppendReply { accepted: true, index: 1, round: 1 });
+        raft.commit_index() == 0
+    });
+}
+
+#[test]
+fn leader_without_a_quorum_steps_down() {
+    differs(Weakening::SkipCheckQuorum, |weakening| {
+        let mut raft = member(weakening, vec![]);
+        elect(&mut raft);
+        for millis in (1_150..2_000).step_by(50) {
+            raft.tick(Duration::from_millis(millis));
+        }
+        !raft.is_leader()
+    });
+}
+
+#[test]
+fn paused_leader_steps_down_before_it_acts() {
+    differs(Weakening::SkipCheckQuorum, |weakening| {
+        let mut raft = member(weakening, vec![]);
+        elect(&mut raft);
+        raft.propose(Duration::from_secs(60), vec![1]).is_err()
+    });
+}
+
+#[test]
+fn leadership_is_confirmed_only_by_answers_to_a_later_round() {
+    let mut raft = member(Weakening::None, vec![]);
+    elect(&mut raft);
+    hear(&mut raft, 1_103, 3, Message::AppendReply { accepted: true, index: 1, round: 0 });
+    let round = raft.begin_round().unwrap();
+    assert!(raft.confirmed_round() < Some(round));
+    hear(&mut raft, 1_104, 3, Message::AppendReply { accepted: true, index: 1, round });
+    assert_eq!(raft.confirmed_round(), Some(round));
+}
+
+#[test]
+fn members_change_by_one_vote_at_a_time() {
+    let mut raft = member(Weakening::None, vec![]);
+    elect(&mut raft);
+    hear(&mut raft, 1_103, 3, Message::AppendReply { accepted: true, index: 1, round: 0 });
+    let now = Duration::from_millis(1_104);
+    let two_fewer = raft.config().without(1).without(2);
+    assert!(raft.propose_config(now, two_fewer).is_err());
+    let one_fewer = raft.config().without(2);
+    assert!(raft.propose_config(now, one_fewer.clone()).is_ok());
+    // The next has to wait until this one is committed.
+    assert!(raft.propose_config(now, one_fewer.without(1)).is_err());
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,26 @@
+//! Plain data shared by every ebonywalk crate: ids, resources, job specs, release notes.
+//!
+//! Nothing here decides anything. Types that cross a process boundary derive or hand-write serde;
+//! in YAML and JSON quantities read as people write them (`1500m`, `2GiB`, `500ms`), in binary
+//! they are plain integers.
+//!
+//! ```
+//! use types::Resources;
+//! let ask = Resources { cpu: 1_500, memory: 2 << 30, accelerators: 0 };
+//! assert!(ask.fits_in(&Resources { cpu: 2_000, memory: 4 << 30, accelerators: 1 }));
+//! ```
+
+mod ids;
+mod job;
+pub mod quantity;
+mod refusal;
+mod release;
+mod resources;
+mod sorted;
+
+pub use ids::*;
+pub use job::{JobClass, JobKey, JobSpec, TaskOutcome};
+pub use refusal::{Refusal, RefusalKind};
+pub use release::{Objective, Release, ReleaseNote, Service, TeamQuota};
+pub use resources::Resources;
+pub use sorted::SortedMap;
