--- /dev/null
+++ b/crates/storage/tests/recovery.rs
@@ -0,0 +1,204 @@
+//! What a data folder gives back after crashes, damage and full disks.
+
+use consensus::{Config, Entry, HardState, Member, Payload, Ready, Restored, Role, Snapshot};
+use std::fs::{self, OpenOptions};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use storage::{DataFolder, ErrorKind, GroupStore};
+
+fn open(path: &Path) -> DataFolder {
+    DataFolder::open(path, "a-1", "zone-a", 7).unwrap()
+}
+
+fn config() -> Config {
+    Config::new(vec![Member { id: 1, host: "a-1".into(), role: Role::Voter }])
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry { index, term, payload: Payload::Command(vec![index as u8; 20]) }
+}
+
+fn entries(range: std::ops::RangeInclusive<u64>, term: u64) -> Ready {
+    let hard_state = Some(HardState { term, vote: Some(1), commit: 0 });
+    Ready { entries: range.map(|i| entry(i, term)).collect(), hard_state, ..Ready::default() }
+}
+
+fn snapshot_at(index: u64, restore: bool) -> Ready {
+    let data = Arc::new(vec![9; 10]);
+    let snapshot = Some(Snapshot { index, term: 1, config: config(), data });
+    Ready { snapshot, restore, ..Ready::default() }
+}
+
+fn formed(folder: &DataFolder) -> GroupStore {
+    let (mut store, found) = folder.open_group("g").unwrap();
+    assert!(found.is_none());
+    store.form(&config()).unwrap();
+    store
+}
+
+fn write(store: &mut GroupStore, ready: &Ready) {
+    store.append(ready).unwrap();
+    store.sync().unwrap();
+}
+
+fn reopen(folder: &DataFolder) -> Restored {
+    folder.open_group("g").unwrap().1.unwrap()
+}
+
+fn indexes(restored: &Restored) -> Vec<(u64, u64)> {
+    restored.entries.iter().map(|e| (e.index, e.term)).collect()
+}
+
+fn segments(path: &Path) -> Vec<PathBuf> {
+    let names = fs::read_dir(path.join("g")).unwrap().map(|e| e.unwrap().path());
+    let mut found: Vec<PathBuf> = names.filter(|p| !p.ends_with("snapshot")).collect();
+    found.sort();
+    found
+}
+
+/// The segment that holds the frames of a single earlier life.
+fn filled_segment(path: &Path) -> PathBuf {
+    segments(path).into_iter().find(|p| fs::metadata(p).unwrap().len() > 0).unwrap()
+}
+
+#[test]
+fn entries_replace_what_stood_at_their_indexes() {
+    let tmp = tempfile::tempdir().unwrap();
+    let folder = open(tmp.path());
+    let mut store = formed(&folder);
+    write(&mut store, &entries(1..=4, 1));
+    write(&mut store, &entries(3..=3, 2));
+    let found = reopen(&folder);
+    assert_eq!(indexes(&found), [(1, 1), (2, 1), (3, 2)]);
+    assert_eq!(found.hard_state.term, 2);
+}
+
+#[test]
+fn snapshot_trims_the_log_and_survives() {
+    let tmp = tempfile::tempdir().unwrap();
+    let folder = open(tmp.path());
+    let mut store = formed(&folder);
+    write(&mut store, &entries(1..=6, 1));
+    write(&mut store, &snapshot_at(4, false));
+    write(&mut store, &entries(7..=7, 1));
+    let (mut store, found) = folder.open_group("g").unwrap();
+    let found = found.unwrap();
+    assert_eq!(found.snapshot.index, 4);
+    assert_eq!(indexes(&found), [(5, 1), (6, 1), (7, 1)]);
+    write(&mut store, &snapshot_at(7, false));
+    assert_eq!(indexes(&reopen(&folder)), []);
+}
+
+#[test]
+fn snapshot_from_the_leader_drops_the_old_log() {
+    let tmp = tempfile::tempdir().unwrap();
+    let folder = open(tmp.path());
+    let mut store = formed(&folder);
+    write(&mut store, &entries(1..=6, 1));
+    write(&mut store, &snapshot_at(4, true));
+    let found = reopen(&folder);
+    assert_eq!((found.snapshot.index, found.entries.len()), (4, 0));
+    assert_eq!(found.hard_state.vote, Some(1), "the vote outlives the log");
+}
+
+/// Cuts or changes the log at every byte and opens it again.
+#[test]
+fn a_log_cut_off_anywhere_gives_back_whole_batches() {
+    let tmp = tempfile::tempdir().unwrap();
+    {
+        let mut store = formed(&open(tmp.path()));
+        write(&mut store, &entries(1..=2, 1));
+        write(&mut store, &entries(3..=3, 1));
+    }
+    let path = filled_segment(tmp.path());
+    let whole = fs::read(&path).unwrap();
+    for length in 0..whole.len() {
+        for other in segments(tmp.path()) {
+            fs::remove_file(other).unwrap();
+        }
+        fs::write(&path, &whole[..length]).unwrap();
+        let found = reopen(&open(tmp.path()));
+        let count = found.entries.len();
+        assert!(matches!(count, 0 | 2), "cut at {length}: {count} entries");
+    }
+}
+
+#[test]
+fn damage_in_the_middle_is_an_error_and_names_the_place() {
+    let tmp = tempfile::tempdir().unwrap();
+    {
+        let mut store = formed(&open(tmp.path()));
+        write(&mut store, &entries(1..=2, 1));
+        write(&mut store, &entries(3..=3, 1));
+    }
+    let path = filled_segment(tmp.path());
+    let mut bytes = fs::read(&path).unwrap();
+    bytes[12] ^= 1;
+    fs::write(&path, bytes).unwrap();
+    let error = open(tmp.path()).open_group("g").unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::Corrupt);
+    assert!(error.to_string().contains("damaged at byte 0: wrong checksum"), "{error}");
+}
+
+#[test]
+fn a_damaged_snapshot_is_an_error() {
+    let tmp = tempfile::tempdir().unwrap();
+    formed(&open(tmp.path()));
+    let path = tmp.path().join("g/snapshot");
+    let bytes = fs::read(&path).unwrap();
+    for length in 0..bytes.len() {
+        fs::write(&path, &bytes[..length]).unwrap();
+        let error = open(tmp.path()).open_group("g").unwrap_err();
+        assert_eq!(error.kind(), ErrorKind::Corrupt, "cut at {length}");
+    }
+}
+
+#[test]
+fn a_failed_sync_is_an_error() {
+    let tmp = tempfile::tempdir().unwrap();
+    let mut store = formed(&open(tmp.path()));
+    store.sync_with(Box::new(|_| Err(io::Error::from(io::ErrorKind::StorageFull))));
+    store.append(&entries(1..=1, 1)).unwrap();
+    assert_eq!(store.sync().unwrap_err().kind(), ErrorKind::Io);
+}
+
+#[test]
+fn only_a_commit_needs_no_sync() {
+    let tmp = tempfile::tempdir().unwrap();
+    let mut store = formed(&open(tmp.path()));
+    write(&mut store, &entries(1..=1, 1));
+    let hard_state = Some(HardState { term: 1, vote: Some(1), commit: 1 });
+    store.append(&Ready { hard_state, ..Ready::default() }).unwrap();
+    assert!(!store.sync().unwrap());
+}
+
+#[test]
+fn a_folder_has_one_owner_and_one_identity() {
+    let tmp = tempfile::tempdir().unwrap();
+    let member = {
+        let folder = open(tmp.path());
+        let second = DataFolder::open(tmp.path(), "a-1", "zone-a", 8).unwrap_err();
+        assert_eq!(second.kind(), ErrorKind::Usage);
+        folder.identity().member
+    };
+    assert_eq!(DataFolder::open(tmp.path(), "a-1", "zone-a", 9).unwrap().identity().member, member);
+    let foreign = DataFolder::open(tmp.path(), "b-1", "zone-a", 9).unwrap_err();
+    assert!(foreign.to_string().contains("belongs to a-1 in zone-a, not to b-1"), "{foreign}");
+    fs::remove_dir_all(tmp.path()).unwrap();
+    assert_ne!(DataFolder::open(tmp.path(), "a-1", "zone-a", 9).unwrap().identity().member, member);
+}
+
+#[test]
+fn a_tail_of_zeros_is_torn_not_damaged() {
+    let tmp = tempfile::tempdir().unwrap();
+    {
+        write(&mut formed(&open(tmp.path())), &entries(1..=2, 1));
+    }
+    let path = filled_segment(tmp.path());
+    let file = OpenOptions::new().append(true).open(&path).unwrap();
+    let length = file.metadata().unwrap().len();
+    file.set_len(length + 4_096).unwrap();
+    assert_eq!(reopen(&open(tmp.path())).entries.len(), 2);
+    assert_eq!(fs::metadata(&path).unwrap().len(), length);
+}
