Add the replicated state and the placement planner

Cause: the thin path needs a ledger that checks each placement where it takes effect, and something that decides what to place. Ruled out: one record per waiting task (a job of 100,000 tasks would cost as many records before the first one starts): a task index is waiting, in one run, or finished. Change: crates/state, crates/placement. Conclusion: doubling a task is ruled out by construction in the state.

--- /dev/null
+++ b/crates/placement/src/preempt.rs
@@ -0,0 +1,62 @@
+//! Choosing what to stop for urgent work.
+
+use crate::view::RunView;
+use crate::workers::{Slot, Workers};
+use std::time::Duration;
+use types::{Fence, Resources, SortedMap, Timestamp};
+
+/// Workers looked at for one urgent task.
+const WORKERS_COMPARED: usize = 64;
+
+/// What to stop on one worker, and the work that is lost with it at worst.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Victims {
+    pub(crate) slot: Slot,
+    pub(crate) fences: Vec<Fence>,
+    lost: Duration,
+}
+
+/// The cheapest set of runs whose end makes room for `need`, among some workers from `start` on.
+pub(crate) fn choose(
+    workers: &Workers,
+    runs_by_slot: &SortedMap<Slot, Vec<Fence>>,
+    runs: &SortedMap<Fence, RunView>,
+    need: &Resources,
+    start: Slot,
+    now: Timestamp,
+) -> Option<Victims> {
+    let count = workers.slot_count();
+    let slots = (0..count).map(|i| (start + i) % count);
+    let on_slot = |slot: Slot| {
+        let fences = runs_by_slot.get(&slot)?;
+        let mut victims: Vec<&RunView> = fences
+            .iter()
+            .filter_map(|fence| runs.get(fence))
+            .filter(|run| run.preemptible && !run.stopping)
+            .collect();
+        // The youngest have the least to lose.
+        victims.sort_by_key(|run| std::cmp::Reverse(run.placed));
+        stop_enough(slot, workers.index.room(slot), &victims, need, now)
+    };
+    slots.filter_map(on_slot).take(WORKERS_COMPARED).min_by_key(|victims| victims.lost)
+}
+
+fn stop_enough(
+    slot: Slot,
+    mut room: Resources,
+    victims: &[&RunView],
+    need: &Resources,
+    now: Timestamp,
+) -> Option<Victims> {
+    let mut fences = Vec::new();
+    let mut lost = Duration::ZERO;
+    for run in victims {
+        if need.fits_in(&room) {
+            break;
+        }
+        room = room.checked_add(&run.resources)?;
+        lost += now.saturating_sub(run.placed);
+        fences.push(run.fence);
+    }
+    (need.fits_in(&room) && !fences.is_empty()).then_some(Victims { slot, fences, lost })
+}
--- /dev/null
+++ b/crates/placement/src/workers.rs
@@ -0,0 +1,108 @@
+//! The planner's workers, in slots, with racks.
+
+use crate::index::FitIndex;
+use crate::view::WorkerView;
+use types::{Incarnation, JobId, Resources, SortedMap, WorkerId};
+
+/// A worker's place in the index.
+pub(crate) type Slot = usize;
+
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerSlot {
+    pub(crate) id: WorkerId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) rack: usize,
+    pub(crate) capacity: Resources,
+    /// Jobs of the runs here, for spreading services.
+    pub(crate) jobs: Vec<JobId>,
+}
+
+/// Slots of one rack.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Rack {
+    pub(crate) slots: Vec<Slot>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Workers {
+    by_id: SortedMap<WorkerId, Slot>,
+    slots: Vec<Option<WorkerSlot>>,
+    free_slots: Vec<Slot>,
+    pub(crate) index: FitIndex,
+    rack_names: SortedMap<String, usize>,
+    pub(crate) racks: Vec<Rack>,
+    pub(crate) capacity: Resources,
+}
+
+impl Workers {
+    pub(crate) fn upsert(&mut self, view: WorkerView) {
+        let slot = match self.by_id.get(&view.id) {
+            Some(slot) => *slot,
+            None => self.free_slots.pop().unwrap_or(self.slots.len()),
+        };
+        if slot == self.slots.len() {
+            self.slots.push(None);
+        }
+        let jobs = match self.slots[slot].take() {
+            Some(old) => {
+                self.leave_rack(slot, old.rack);
+                self.capacity = self.capacity.saturating_sub(&old.capacity);
+                old.jobs
+            }
+            None => Vec::new(),
+        };
+        let rack = self.join_rack(slot, &view.rack);
+        self.capacity = self.capacity.checked_add(&view.capacity).unwrap_or(self.capacity);
+        self.by_id.insert(view.id.clone(), slot);
+        self.index.set(slot, view.room);
+        let WorkerView { id, incarnation, capacity, .. } = view;
+        self.slots[slot] = Some(WorkerSlot { id, incarnation, rack, capacity, jobs });
+    }
+
+    pub(crate) fn remove(&mut self, id: &WorkerId) {
+        let Some(slot) = self.by_id.remove(id) else { return };
+        if let Some(old) = self.slots[slot].take() {
+            self.leave_rack(slot, old.rack);
+            self.capacity = self.capacity.saturating_sub(&old.capacity);
+        }
+        self.index.set(slot, Resources::default());
+        self.free_slots.push(slot);
+    }
+
+    fn join_rack(&mut self, slot: Slot, name: &str) -> usize {
+        let next = self.racks.len();
+        let rack = *self.rack_names.get_or_insert_with(name.to_string(), || next);
+        if rack == next {
+            self.racks.push(Rack::default());
+        }
+        self.racks[rack].slots.push(slot);
+        rack
+    }
+
+    fn leave_rack(&mut self, slot: Slot, rack: usize) {
+        self.racks[rack].slots.retain(|s| *s != slot);
+    }
+
+    pub(crate) fn slot_of(&self, id: &WorkerId) -> Option<Slot> {
+        self.by_id.get(id).copied()
+    }
+
+    pub(crate) fn get(&self, slot: Slot) -> Option<&WorkerSlot> {
+        self.slots.get(slot)?.as_ref()
+    }
+
+    pub(crate) fn get_mut(&mut self, slot: Slot) -> Option<&mut WorkerSlot> {
+        self.slots.get_mut(slot)?.as_mut()
+    }
+
+    /// Slots that have ever been used.
+    pub(crate) fn slot_count(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Takes room in a slot until the state says how it is.
+    pub(crate) fn take(&mut self, slot: Slot, resources: &Resources) {
+        let room = self.index.room(slot).saturating_sub(resources);
+        self.index.set(slot, room);
+    }
+}
--- /dev/null
+++ b/crates/state/src/record.rs
@@ -0,0 +1,59 @@
+//! Idempotency records: what became of requests that must run at most once.
+
+use serde::{Deserialize, Serialize};
+use types::{ExchangeId, HostId, MemberId, Timestamp};
+
+/// The one exchange that may send a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// The entry host.
+    pub host: HostId,
+    /// Random number of the entry host's process.
+    pub process: MemberId,
+    /// The exchange in that process.
+    pub exchange: ExchangeId,
+}
+
+/// An upstream's answer, kept for whoever sends the request again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredAnswer {
+    /// HTTP status, or 0 when the outcome is unknown.
+    pub status: u16,
+    /// The answer's content type.
+    pub content_type: String,
+    /// The answer's body.
+    pub body: Vec<u8>,
+}
+
+/// How far a request got.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RecordPhase {
+    /// Its owner may have sent it.
+    Begun,
+    /// It was answered, or its outcome is unknown for good.
+    Finished(StoredAnswer),
+}
+
+/// One record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Digest of the request.
+    pub digest: String,
+    /// Who may send it.
+    pub owner: Owner,
+    /// How far it got.
+    pub phase: RecordPhase,
+    /// When it was begun.
+    pub at: Timestamp,
+}
+
+/// What a host that wants to send a request hears.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RecordAnswer {
+    /// Send it.
+    Yours,
+    /// Somebody else may have sent it and has not finished; since when.
+    Begun(Owner, Timestamp),
+    /// Answer with this.
+    Finished(StoredAnswer),
+}
--- /dev/null
+++ b/crates/state/src/zone.rs
@@ -0,0 +1,435 @@
+//! A zone's state and the commands that change it.
+
+use crate::command::{Effects, Reply, RunEnd, Weakening, WorkerSpec, ZoneCommand};
+use crate::job::{Job, JobStatus, Run};
+use crate::record::{Owner, Record, RecordAnswer, RecordPhase, StoredAnswer};
+use crate::worker::{Worker, WorkerStatus};
+use serde::{Deserialize, Serialize};
+use types::{
+    Fence, Incarnation, JobClass, JobId, JobKey, JobSpec, Refusal, RefusalKind, Resources,
+    SortedMap, TaskOutcome, TeamName, TeamQuota, Timestamp, Version, WorkerId,
+};
+
+/// The replicated state of one availability zone.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ZoneState {
+    pub(crate) workers: SortedMap<WorkerId, Worker>,
+    pub(crate) jobs: SortedMap<JobId, Box<Job>>,
+    pub(crate) names: SortedMap<JobKey, JobId>,
+    pub(crate) runs: SortedMap<Fence, Box<Run>>,
+    pub(crate) records: SortedMap<String, Box<Record>>,
+    pub(crate) quotas: SortedMap<TeamName, TeamQuota>,
+    pub(crate) release: Version,
+    pub(crate) last_job: JobId,
+    pub(crate) last_fence: Fence,
+    #[serde(skip)]
+    pub(crate) weakening: Weakening,
+}
+
+impl ZoneState {
+    /// An empty zone with a check switched off; for tests.
+    pub fn weakened(weakening: Weakening) -> ZoneState {
+        ZoneState { weakening, ..ZoneState::default() }
+    }
+
+    /// Switches a check off; for tests.
+    pub fn weaken(&mut self, weakening: Weakening) {
+        self.weakening = weakening;
+    }
+
+    /// All workers.
+    pub fn workers(&self) -> &SortedMap<WorkerId, Worker> {
+        &self.workers
+    }
+
+    /// All jobs, ended ones until they are trimmed.
+    pub fn jobs(&self) -> &SortedMap<JobId, Box<Job>> {
+        &self.jobs
+    }
+
+    /// All live runs.
+    pub fn runs(&self) -> &SortedMap<Fence, Box<Run>> {
+        &self.runs
+    }
+
+    /// All idempotency records.
+    pub fn records(&self) -> &SortedMap<String, Box<Record>> {
+        &self.records
+    }
+
+    /// Team quotas of the adopted release.
+    pub fn quotas(&self) -> &SortedMap<TeamName, TeamQuota> {
+        &self.quotas
+    }
+
+    /// The release that was adopted last.
+    pub fn release(&self) -> Version {
+        self.release
+    }
+
+    /// The latest job with this name.
+    pub fn find_job(&self, key: &JobKey) -> Option<(JobId, &Job)> {
+        let id = *self.names.get(key)?;
+        Some((id, self.jobs.get(&id)?))
+    }
+
+    /// What all workers that are not lost can hold together.
+    pub fn capacity(&self) -> Resources {
+        let present = self.workers.values().filter(|w| w.status() != WorkerStatus::Lost);
+        present.fold(Resources::default(), |sum, w| sum.checked_add(&w.capacity).unwrap_or(sum))
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: ZoneCommand) -> (Reply, Effects) {
+        let mut effects = Effects::default();
+        let reply = match command {
+            ZoneCommand::Register { spec, at } => self.register(spec, at, &mut effects),
+            ZoneCommand::WorkerLost { worker, incarnation, at } => {
+                self.lose_worker(&worker, incarnation, at, &mut effects)
+            }
+            ZoneCommand::Drain { worker, draining } => self.drain(worker, draining, &mut effects),
+            ZoneCommand::Submit { spec, at } => self.submit(spec, at, &mut effects),
+            ZoneCommand::Cancel { job, at } => self.cancel_named(&job, at, &mut effects),
+            ZoneCommand::Adopt { base, version, jobs, withdrawn, quotas, at } => {
+                self.adopt(base, version, quotas, &mut effects, |zone, effects| {
+                    withdrawn.iter().for_each(|id| zone.withdraw(*id, at, effects));
+                    jobs.into_iter().for_each(|job| zone.take_on(job, at, effects));
+                })
+            }
+            ZoneCommand::Place { placements, at } => self.place(&placements, at, &mut effects),
+            ZoneCommand::Stop { fences } => {
+                fences.iter().for_each(|fence| self.stop(*fence));
+                Reply::Done
+            }
+            ZoneCommand::End { worker, ends, at } => {
+                ends.iter().for_each(|end| self.end(&worker, *end, at, &mut effects));
+                Reply::Done
+            }
+            ZoneCommand::MarkLate { job } => self.mark_late(job),
+            ZoneCommand::RecordBegin { key, digest, owner, at } => {
+                self.begin_record(key, digest, owner, at)
+            }
+            ZoneCommand::RecordFinish { key, owner, answer, at } => {
+                self.finish_record(key, owner, answer, at)
+            }
+            ZoneCommand::Trim { before } => self.trim(before, &mut effects),
+        };
+        (reply, effects)
+    }
+
+    fn register(&mut self, spec: WorkerSpec, at: Timestamp, effects: &mut Effects) -> Reply {
+        let WorkerSpec { worker: id, rack, capacity, incarnation } = spec;
+        effects.workers.push(id.clone());
+        let Some(worker) = self.workers.get(&id) else {
+            self.workers.insert(id, Worker::new(rack, capacity, incarnation));
+            return Reply::Done;
+        };
+        if incarnation < worker.incarnation {
+            let message = format!(
+                "incarnation: {incarnation} of worker `{id}` is over; it is in {}",
+                worker.incarnation
+            );
+            return Reply::Refused(Refusal::new(RefusalKind::Conflict, message));
+        }
+        if incarnation == worker.incarnation {
+            return if worker.status() == WorkerStatus::Lost {
+                let message =
+                    format!("incarnation: {incarnation} of `{id}` was lost; start another");
+                Reply::Refused(Refusal::new(RefusalKind::Conflict, message))
+            } else {
+                Reply::Done
+            };
+        }
+        // A new life runs nothing of the old one.
+        self.lose_runs(&id, at, effects);
+        let worker = self.workers.get_mut(&id).expect("looked up above");
+        worker.begin_life(rack, capacity, incarnation);
+        Reply::Done
+    }
+
+    fn lose_worker(
+        &mut self,
+        id: &WorkerId,
+        incarnation: Incarnation,
+        at: Timestamp,
+        effects: &mut Effects,
+    ) -> Reply {
+        let current = self.workers.get(id).is_some_and(|w| w.incarnation == incarnation);
+        if !current {
+            return Reply::Done;
+        }
+        effects.workers.push(id.clone());
+        self.lose_runs(id, at, effects);
+        let worker = self.workers.get_mut(id).expect("looked up above");
+        worker.lost_at = Some(at);
+        Reply::Done
+    }
+
+    /// Takes all runs off a worker, of which nobody knows how far they got.
+    fn lose_runs(&mut self, id: &WorkerId, at: Timestamp, effects: &mut Effects) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let fences = std::mem::take(&mut worker.runs);
+        worker.used = Resources::default();
+        for fence in fences {
+            let Some(run) = self.runs.remove(&fence) else { continue };
+            let Some(job) = self.jobs.get_mut(&run.job) else { continue };
+            job.runs.retain(|f| *f != fence);
+            let may_repeat =
+                !job.spec.unrepeatable || self.weakening == Weakening::RepeatUnrepeatable;
+            if may_repeat {
+                job.wait_again(run.index);
+            } else {
+                job.unknown += 1;
+            }
+            self.restart_together(run.job);
+            self.after_run(run.job, at, effects);
+        }
+    }
+
+    fn drain(&mut self, id: WorkerId, draining: bool, effects: &mut Effects) -> Reply {
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return not_found(format!("worker `{id}` does not exist"));
+        };
+        worker.draining = draining;
+        effects.workers.push(id);
+        Reply::Done
+    }
+
+    fn submit(&mut self, spec: JobSpec, at: Timestamp, effects: &mut Effects) -> Reply {
+        if let Err(cause) = spec.check() {
+            return Reply::Refused(Refusal::new(RefusalKind::BadInput, cause));
+        }
+        if let Some((id, job)) = self.find_job(&spec.key()) {
+            if job.spec == spec {
+                return Reply::Job(id);
+            }
+            let message = format!("name: job `{}` exists with another spec", spec.key());
+            return Reply::Refused(Refusal::new(RefusalKind::Conflict, message));
+        }
+        Reply::Job(self.add_job(spec, None, at, effects))
+    }
+
+    pub(crate) fn add_job(
+        &mut self,
+        spec: JobSpec,
+        added: Option<Version>,
+        at: Timestamp,
+        effects: &mut Effects,
+    ) -> JobId {
+        self.last_job += 1;
+        let id = self.last_job;
+        self.names.insert(spec.key(), id);
+        self.jobs.insert(id, Box::new(Job::new(spec, added, at)));
+        effects.jobs.push(id);
+        id
+    }
+
+    fn cancel_named(&mut self, key: &JobKey, at: Timestamp, effects: &mut Effects) -> Reply {
+        let Some(id) = self.names.get(key).copied() else {
+            return not_found(format!("job `{key}` does not exist"));
+        };
+        self.cancel(id, at, effects);
+        Reply::Job(id)
+    }
+
+    pub(crate) fn cancel(&mut self, id: JobId, at: Timestamp, effects: &mut Effects) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.is_over() {
+            return;
+        }
+        job.end(JobStatus::Cancelled, at);
+        for fence in job.runs.clone() {
+            self.stop(fence);
+        }
+        effects.jobs.push(id);
+    }
+
+    pub(crate) fn stop(&mut self, fence: Fence) {
+        if let Some(run) = self.runs.get_mut(&fence) {
+            run.stopping = true;
+        }
+    }
+
+    fn end(&mut self, by: &WorkerId, end: RunEnd, at: Timestamp, effects: &mut Effects) {
+        // A run that is not there has ended before: the report was resent.
+        if self.runs.get(&end.fence).is_none_or(|run| run.worker != *by) {
+            return;
+        }
+        let run = self.runs.remove(&end.fence).expect("looked up above");
+        effects.workers.push(run.worker.clone());
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.runs.retain(|f| *f != end.fence);
+            worker.used = worker.used.saturating_sub(&run.resources);
+        }
+        if let Some(job) = self.jobs.get_mut(&run.job) {
+            job.runs.retain(|f| *f != end.fence);
+        }
+        match end.outcome {
+            TaskOutcome::Succeeded => self.end_well(&run),
+            TaskOutcome::Failed => self.end_badly(&run, at),
+            TaskOutcome::Stopped => self.end_stopped(&run),
+        }
+        self.after_run(run.job, at, effects);
+    }
+
+    fn end_well(&mut self, run: &Run) {
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.note_success();
+        }
+        let Some(job) = self.jobs.get_mut(&run.job) else { return };
+        job.note_success();
+        if job.spec.class == JobClass::Service {
+            job.wait_again(run.index);
+        } else {
+            job.succeeded += 1;
+        }
+    }
+
+    fn end_badly(&mut self, run: &Run, at: Timestamp) {
+        let Some(job) = self.jobs.get_mut(&run.job) else { return };
+        let is_service = job.spec.class == JobClass::Service;
+        if job.spec.unrepeatable {
+            job.failed += 1;
+        } else {
+            job.wait_again(run.index);
+            job.note_failure(&run.worker, at, is_service);
+        }
+        let forgiven = match self.workers.get_mut(&run.worker) {
+            Some(worker) => worker.note_failure(run.job, at),
+            None => Vec::new(),
+        };
+        for id in forgiven {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.forgive(&run.worker);
+            }
+        }
+        self.restart_together(run.job);
+    }
+
+    fn end_stopped(&mut self, run: &Run) {
+        let Some(job) = self.jobs.get_mut(&run.job) else { return };
+        if job.spec.unrepeatable && !job.is_over() {
+            job.unknown += 1;
+        } else {
+            job.wait_again(run.index);
+        }
+    }
+
+    /// When one task of an all-at-once job is out, the others stop too and all wait together.
+    fn restart_together(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.spec.class == JobClass::AllAtOnce {
+            for fence in job.runs.clone() {
+                self.stop(fence);
+            }
+        }
+    }
+
+    /// After a run is out: the job may have ended, and a later one of its name may start.
+    fn after_run(&mut self, id: JobId, at: Timestamp, effects: &mut Effects) {
+        effects.jobs.push(id);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.end_if_finished(at);
+        if job.is_over() && job.runs.is_empty() {
+            effects.jobs.extend(self.names.get(&job.spec.key()));
+        }
+    }
+
+    /// Whether a job of the same name still has runs, so that nothing of `job` may start.
+    pub fn is_behind_earlier(&self, job: &Job) -> bool {
+        let mut earlier = job.after.and_then(|id| self.jobs.get(&id));
+        while let Some(job) = earlier {
+            if !job.runs.is_empty() {
+                return true;
+            }
+            earlier = job.after.and_then(|id| self.jobs.get(&id));
+        }
+        false
+    }
+
+    fn mark_late(&mut self, id: JobId) -> Reply {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.late = true;
+        }
+        Reply::Done
+    }
+
+    fn begin_record(&mut self, key: String, digest: String, owner: Owner, at: Timestamp) -> Reply {
+        if let Some(record) = self.records.get(&key) {
+            if record.digest != digest {
+                let message = "idempotency key: came before with another request";
+                return Reply::Refused(Refusal::new(RefusalKind::KeyReused, message));
+            }
+            let answer = match &record.phase {
+                RecordPhase::Finished(answer) => RecordAnswer::Finished(answer.clone()),
+                RecordPhase::Begun if record.owner == owner => RecordAnswer::Yours,
+                RecordPhase::Begun if self.weakening == Weakening::RestartRecords => {
+                    RecordAnswer::Yours
+                }
+                RecordPhase::Begun => RecordAnswer::Begun(record.owner.clone(), record.at),
+            };
+            return Reply::Record(answer);
+        }
+        let record = Record { digest, owner, phase: RecordPhase::Begun, at };
+        self.records.insert(key, Box::new(record));
+        Reply::Record(RecordAnswer::Yours)
+    }
+
+    fn finish_record(
+        &mut self,
+        key: String,
+        owner: Owner,
+        answer: Option<StoredAnswer>,
+        at: Timestamp,
+    ) -> Reply {
+        let Some(record) = self.records.get_mut(&key) else { return Reply::Done };
+        if record.owner != owner || record.phase != RecordPhase::Begun {
+            return Reply::Done;
+        }
+        match answer {
+            Some(answer) => {
+                record.phase = RecordPhase::Finished(answer);
+                record.at = at;
+            }
+            // It did not run, so it may still be run once.
+            None => {
+                self.records.remove(&key);
+            }
+        }
+        Reply::Done
+    }
+
+    fn trim(&mut self, before: Timestamp, effects: &mut Effects) -> Reply {
+        // A declared job stays known as long as its release may list it, or it would run again.
+        let gone = |job: &Job| {
+            let at_rest = job.runs.is_empty() && !self.is_behind_earlier(job);
+            job.added.is_none() && at_rest && job.ended.is_some_and(|at| at < before)
+        };
+        let old: Vec<JobId> =
+            self.jobs.iter().filter(|(_, j)| gone(j)).map(|(id, _)| *id).collect();
+        for id in old {
+            self.forget_job(id);
+            effects.jobs.push(id);
+        }
+        self.records.retain(|_, record| record.at >= before);
+        self.workers.retain(|id, worker| {
+            let old = worker.lost_at.is_some_and(|at| at < before);
+            if old {
+                effects.workers.push(id.clone());
+            }
+            !old
+        });
+        Reply::Done
+    }
+
+    pub(crate) fn forget_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        if self.names.get(&job.spec.key()) == Some(&id) {
+            self.names.remove(&job.spec.key());
+        }
+    }
+}
+
+pub(crate) fn not_found(message: String) -> Reply {
+    Reply::Refused(Refusal::new(RefusalKind::NotFound, message))
+}
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -14,9 +14,9 @@
 pub type TeamName = String;
 /// A service that upstreams serve and callers ask for.
 pub type ServiceName = String;
-/// One task, unique in its zone for ever.
-pub type TaskId = u64;
-/// Fencing number of one placement of a task; grows with every placement in a zone.
+/// One job of one zone; never used again for another.
+pub type JobId = u64;
+/// Fencing number of one run of a task; grows with every placement in a zone.
 pub type Fence = u64;
 /// Counts the lives of a worker or an upstream; a later life has the larger number.
 pub type Incarnation = u64;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -21,6 +21,6 @@
 pub use ids::*;
 pub use job::{JobClass, JobKey, JobSpec, TaskOutcome};
 pub use refusal::{Refusal, RefusalKind};
-pub use release::{Objective, Release, ReleaseNote, Service, TeamQuota};
+pub use release::{DeclaredJob, Objective, Release, ReleaseNote, Service, TeamQuota};
 pub use resources::Resources;
 pub use sorted::SortedMap;
--- a/crates/types/src/release.rs
+++ b/crates/types/src/release.rs
@@ -118,6 +118,17 @@
     }
 }
 
+/// A job of a release, and since when it is there.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DeclaredJob {
+    /// What is declared.
+    pub spec: JobSpec,
+    /// The version that added it; a job withdrawn and added again is another job.
+    pub added: Version,
+    /// The version that last changed it.
+    pub changed: Version,
+}
+
 /// What is declared for the whole cell, as all accepted notes add up.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Release {
@@ -126,7 +137,7 @@
     /// Digest of the note that made this version, in hex.
     pub digest: String,
     /// Declared jobs.
-    pub jobs: SortedMap<JobKey, JobSpec>,
+    pub jobs: SortedMap<JobKey, DeclaredJob>,
     /// Declared services.
     pub services: SortedMap<ServiceName, Service>,
     /// Team quotas.
@@ -152,6 +163,8 @@
             ));
         }
         let mut next = self.clone();
+        next.version += 1;
+        next.digest = digest.to_string();
         for (i, key) in note.withdraw.iter().enumerate() {
             let key: JobKey = key.parse()?;
             next.jobs.remove(&key).ok_or(format!("withdraw[{i}]: job `{key}` does not exist"))?;
@@ -161,14 +174,23 @@
             gone.ok_or(format!("withdraw_services[{i}]: service `{name}` does not exist"))?;
         }
         for (i, spec) in note.add.iter().enumerate() {
-            if next.jobs.insert(spec.key(), spec.clone()).is_some() {
+            let (added, changed) = (next.version, next.version);
+            let declared = DeclaredJob { spec: spec.clone(), added, changed };
+            if next.jobs.insert(spec.key(), declared).is_some() {
                 return Err(format!("add[{i}].name: job `{}` exists; use change", spec.key()));
             }
         }
         for (i, spec) in note.change.iter().enumerate() {
-            if next.jobs.insert(spec.key(), spec.clone()).is_none() {
+            let Some(job) = next.jobs.get_mut(&spec.key()) else {
                 return Err(format!("change[{i}].name: job `{}` does not exist", spec.key()));
+            };
+            if job.spec.class != spec.class || job.spec.zone != spec.zone {
+                return Err(format!(
+                    "change[{i}]: class and zone of `{}` stay; withdraw it and add another",
+                    spec.key()
+                ));
             }
+            (job.spec, job.changed) = (spec.clone(), next.version);
         }
         for service in &note.services {
             next.services.insert(service.name.clone(), service.clone());
@@ -176,8 +198,6 @@
         for quota in &note.quotas {
             next.quotas.insert(quota.team.clone(), quota.clone());
         }
-        next.version += 1;
-        next.digest = digest.to_string();
         Ok(next)
     }
 }
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -8,7 +8,7 @@
 const FIELDS: [&str; 3] = ["cpu", "memory", "accelerators"];
 
 /// An amount of the three resources that are placed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Resources {
     /// Processors in millicores.
     pub cpu: u64,
