--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,139 @@
+//! The commands and their help.
+
+use clap::{Arg, ArgAction, Command};
+use std::path::PathBuf;
+
+const EXAMPLES: &str = "Examples:
+  ebonywalk settings check host.yaml
+  ebonywalk release diff release.yaml
+  ebonywalk release apply release.yaml
+  ebonywalk submit job.yaml
+  ebonywalk explain planning/nightly-sync
+  ebonywalk status
+  ebonywalk report burn --html burn.html
+
+Entry hosts are taken from --operators or EBONYWALK_OPERATORS (several with commas; the first
+that can be reached is used), the token from --token or EBONYWALK_TOKEN.
+
+Exit codes: 0 done, 1 refused, 2 wrong command line or file, 3 no entry host reached (nothing was
+done), 4 outcome unknown (run the same command again).";
+
+/// The whole command line.
+pub(crate) fn command() -> Command {
+    Command::new("ebonywalk")
+        .version(clap::crate_version!())
+        .about("Operates an ebonywalk cell")
+        .after_help(EXAMPLES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(global("operators", "ADDR", "Operators' addresses of entry hosts, with commas"))
+        .arg(global("token", "TOKEN", "The operators' token"))
+        .arg(global("output", "FORMAT", "text or json").value_parser(["text", "json"]))
+        .subcommand(settings())
+        .subcommand(release())
+        .subcommand(
+            Command::new("submit")
+                .about("Submit a job from a YAML file; the same file again does nothing more")
+                .arg(file("The job")),
+        )
+        .subcommand(Command::new("cancel").about("Cancel a submitted job").arg(job()))
+        .subcommand(
+            Command::new("explain").about("Show how a job stands and why it waits").arg(job()),
+        )
+        .subcommand(Command::new("jobs").about("List the jobs of all zones"))
+        .subcommand(Command::new("workers").about("List the workers of all zones"))
+        .subcommand(drain())
+        .subcommand(
+            Command::new("status").about("Show how the cell stands, from every entry host given"),
+        )
+        .subcommand(Command::new("members").about("Show the members of the replicated groups"))
+        .subcommand(report())
+}
+
+fn global(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).global(true).help(help)
+}
+
+fn file(help: &'static str) -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(clap::value_parser!(PathBuf))
+        .help(help)
+}
+
+fn job() -> Arg {
+    Arg::new("job").value_name("TEAM/NAME").required(true).help("The job")
+}
+
+fn settings() -> Command {
+    Command::new("settings")
+        .about("Work with settings of entry hosts")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Check a settings file and print what it puts in force")
+                .arg(file("The settings")),
+        )
+}
+
+fn release() -> Command {
+    let request = Arg::new("request").long("request").value_name("ID").help(
+        "Id of this request; the same id sent again gets the same answer [default: digest of file]",
+    );
+    Command::new("release")
+        .about("Work with the release")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Check a release note without an entry host")
+                .arg(file("The release note")),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Show what a release note would change")
+                .arg(file("The release note")),
+        )
+        .subcommand(
+            Command::new("apply")
+                .about("Apply a release note, and show where it is in force")
+                .arg(file("The release note"))
+                .arg(request),
+        )
+        .subcommand(Command::new("show").about("Show the release in force"))
+}
+
+fn drain() -> Command {
+    let undo = Arg::new("undo")
+        .long("undo")
+        .action(ArgAction::SetTrue)
+        .help("Let the worker get work again");
+    let zone = Arg::new("zone").value_name("ZONE").required(true).help("The worker's zone");
+    Command::new("drain")
+        .about("Take something out of work")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("worker")
+                .about("A worker finishes what it has and gets no more")
+                .arg(zone)
+                .arg(Arg::new("worker").value_name("WORKER").required(true).help("The worker"))
+                .arg(undo),
+        )
+        .subcommand(
+            Command::new("host")
+                .about("The first entry host of --operators stops gracefully and exits"),
+        )
+}
+
+fn report() -> Command {
+    let html = Arg::new("html")
+        .long("html")
+        .value_name("FILE")
+        .value_parser(clap::value_parser!(PathBuf))
+        .help("Also write a page with plots");
+    Command::new("report").about("Reports").subcommand_required(true).subcommand(
+        Command::new("burn")
+            .about("Service-level burn: how fast each service uses up its error budget")
+            .arg(html),
+    )
+}
--- /dev/null
+++ b/crates/cli/src/burn.rs
@@ -0,0 +1,182 @@
+//! The report on service-level burn.
+
+use crate::output::{print_json, table, Format};
+use crate::run::Context;
+use crate::Error;
+use daemon::{BurnLine, WindowBurn};
+use plotters::prelude::*;
+use std::fs;
+use std::path::Path;
+use types::SortedMap;
+
+/// Burn rate of the 1 h window at which the budget of three days lasts about five hours.
+const FAST_BURN: f64 = 14.4;
+/// Burn rate of the 6 h window at which it lasts half a day.
+const SLOW_BURN: f64 = 6.0;
+const PLOT_SIZE: (u32, u32) = (760, 180);
+
+pub(crate) async fn report(cx: &Context, html: Option<&std::path::PathBuf>) -> Result<(), Error> {
+    let mut lines: Vec<BurnLine> = Vec::new();
+    let mut heard = 0;
+    let mut last = None;
+    for client in cx.target.all() {
+        match client.get::<Vec<BurnLine>>("/v1/burn").await {
+            Ok(more) => {
+                heard += 1;
+                lines.extend(more);
+            }
+            Err(e) => last = Some(e),
+        }
+    }
+    if let (0, Some(e)) = (heard, last) {
+        return Err(e.into());
+    }
+    let merged = merge(lines);
+    if let Some(path) = html {
+        write_page(path, &merged)?;
+    }
+    if cx.format == Format::Json {
+        print_json(&merged);
+        return Ok(());
+    }
+    println!("from {heard} of {} entry hosts", cx.target.all().len());
+    print!("{}", table(&HEAD, &rows(&merged)));
+    Ok(())
+}
+
+const HEAD: [&str; 10] = [
+    "SERVICE", "WINDOW", "REQUESTS", "SLOW", "NOT RUN", "UNKNOWN", "FAILED", "BURN", "LEFT",
+    "ALARM",
+];
+
+/// Adds up the lines that hosts give for the same service.
+fn merge(lines: Vec<BurnLine>) -> Vec<BurnLine> {
+    let mut merged: SortedMap<String, BurnLine> = SortedMap::default();
+    for line in lines {
+        match merged.get_mut(&line.service) {
+            None => {
+                merged.insert(line.service.clone(), line);
+            }
+            Some(sum) => add(sum, &line),
+        }
+    }
+    for line in merged.values_mut() {
+        let allowed = 1.0 - line.objective.target;
+        line.windows.iter_mut().for_each(|window| window.burn_rate = rate(window, allowed));
+        line.budget_left = 1.0 - line.windows.last().map_or(0.0, |window| window.burn_rate);
+    }
+    merged.values().cloned().collect()
+}
+
+fn add(sum: &mut BurnLine, line: &BurnLine) {
+    for (window, more) in sum.windows.iter_mut().zip(&line.windows) {
+        window.requests += more.requests;
+        window.slow += more.slow;
+        window.not_run += more.not_run;
+        window.unknown += more.unknown;
+        window.failed += more.failed;
+    }
+    for (minute, more) in sum.last_hour.iter_mut().zip(&line.last_hour) {
+        *minute += more;
+    }
+}
+
+fn rate(window: &WindowBurn, allowed: f64) -> f64 {
+    let bad = window.slow + window.not_run + window.unknown + window.failed;
+    if window.requests == 0 {
+        0.0
+    } else {
+        bad as f64 / window.requests as f64 / allowed
+    }
+}
+
+fn rows(lines: &[BurnLine]) -> Vec<Vec<String>> {
+    let row = |line: &BurnLine, window: &WindowBurn| {
+        vec![
+            line.service.clone(),
+            window.window.clone(),
+            window.requests.to_string(),
+            window.slow.to_string(),
+            window.not_run.to_string(),
+            window.unknown.to_string(),
+            window.failed.to_string(),
+            format!("{:.1}", window.burn_rate),
+            format!("{:.0}%", line.budget_left * 100.0),
+            alarm(window).to_string(),
+        ]
+    };
+    lines.iter().flat_map(|line| line.windows.iter().map(move |w| row(line, w))).collect()
+}
+
+fn alarm(window: &WindowBurn) -> &'static str {
+    match window.window.as_str() {
+        "5m" | "1h" if window.burn_rate >= FAST_BURN => "FAST",
+        "6h" if window.burn_rate >= SLOW_BURN => "SLOW",
+        "3d" if window.burn_rate >= 1.0 => "SPENT",
+        _ => "",
+    }
+}
+
+fn write_page(path: &Path, lines: &[BurnLine]) -> Result<(), Error> {
+    let mut page = String::from(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Service-level burn</title>\
+         <style>body{font-family:sans-serif;margin:2em;max-width:60em}td,th{padding:.2em .8em;\
+         text-align:right}td:first-child,th:first-child{text-align:left}.alarm{color:#b00020}\
+         </style><h1>Service-level burn</h1>",
+    );
+    for line in lines {
+        page.push_str(&section(line));
+    }
+    fs::write(path, page).map_err(|e| Error::Io(path.display().to_string(), e))
+}
+
+fn section(line: &BurnLine) -> String {
+    let mut out = format!(
+        "<h2>{}</h2><p>{}% of requests answered within {:?}; budget left: {:.0}%</p>\
+         <table><tr><th>window<th>requests<th>slow<th>not run<th>unknown<th>failed<th>burn<th></tr>",
+        line.service,
+        line.objective.target * 100.0,
+        line.objective.answer_within,
+        line.budget_left * 100.0
+    );
+    for w in &line.windows {
+        out.push_str(&format!(
+            "<tr><td>{}<td>{}<td>{}<td>{}<td>{}<td>{}<td>{:.1}<td class=alarm>{}</tr>",
+            w.window,
+            w.requests,
+            w.slow,
+            w.not_run,
+            w.unknown,
+            w.failed,
+            w.burn_rate,
+            alarm(w)
+        ));
+    }
+    out.push_str("</table>");
+    out.push_str(&plot(line).unwrap_or_else(|e| format!("<p>no plot: {e}</p>")));
+    out
+}
+
+/// Bad requests of each of the last 60 minutes as an SVG.
+fn plot(line: &BurnLine) -> Result<String, Box<dyn std::error::Error>> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, PLOT_SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let most = line.last_hour.iter().copied().max().unwrap_or(0).max(1);
+        let mut chart = ChartBuilder::on(&area)
+            .caption("bad requests by minute, last hour", ("sans-serif", 14))
+            .margin(6)
+            .x_label_area_size(24)
+            .y_label_area_size(44)
+            .build_cartesian_2d(-60i32..0i32, 0u64..most + 1)?;
+        chart.configure_mesh().x_desc("minutes ago").y_labels(4).draw()?;
+        let bars = line.last_hour.iter().enumerate().map(|(i, bad)| {
+            let x = i as i32 - 60;
+            Rectangle::new([(x, 0), (x + 1, *bad)], RED.mix(0.7).filled())
+        });
+        chart.draw_series(bars)?;
+        area.present()?;
+    }
+    Ok(svg)
+}
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -13,11 +13,9 @@
 /// What an entry carries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
-    /// Opens a leader's term.
-    Noop,
     /// A command of the replicated state, encoded by its owner.
     Command(Vec<u8>),
-    /// A change of members.
+    /// The members. The first entry of each term repeats the present ones.
     Config(Config),
 }
 
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -487,7 +487,8 @@
             handover: None,
             next_heartbeat: self.now + self.tuning.heartbeat,
         });
-        self.append_own(Payload::Noop);
+        // A member that starts with nothing learns the group from this entry.
+        self.append_own(Payload::Config(self.log.config().clone()));
     }
 
     /// A leader's regular duty: check its quorum, end a late handover, show that it lives.
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -19,7 +19,7 @@
 }
 
 fn entry(index: u64, term: u64) -> Entry {
-    Entry { index, term, payload: Payload::Noop }
+    Entry { index, term, payload: Payload::Command(vec![]) }
 }
 
 fn hear(raft: &mut Raft, millis: u64, term: u64, message: Message) {
--- /dev/null
+++ b/crates/daemon/examples/demo.rs
@@ -0,0 +1,184 @@
+//! The whole path on this machine: three entry hosts in three zones, two upstreams, workers.
+//!
+//! It starts them as processes and stand-ins, applies a release note, sends a request, submits a
+//! service, a batch run and an all-at-once job, prints what really happened, and stops all of it
+//! gracefully. It exits non-zero when something did not happen.
+
+use async_std::task;
+use client::Client;
+use serde_json::{json, Value};
+use standin::{CellBuilder, Journal, Upstream, Worker, WorkerOptions};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+use types::Resources;
+
+const ZONES: [&str; 3] = ["stgo-a", "stgo-b", "valpo-c"];
+const PATIENCE: Duration = Duration::from_secs(30);
+
+type Failure = Box<dyn std::error::Error>;
+
+fn main() -> ExitCode {
+    match task::block_on(demo()) {
+        Ok(()) => {
+            println!("done");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("demo: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn demo() -> Result<(), Failure> {
+    let folder = tempfile::tempdir()?;
+    let builder = CellBuilder::new(&program()?, folder.path());
+    let builder = ZONES.iter().fold(builder, |builder, zone| builder.zone(zone, 1));
+    let mut cell = builder.build()?;
+    cell.start()?;
+    println!("entry hosts: {}", names(&cell.hosts));
+    let operators = cell.hosts[0].operators();
+
+    let version = apply_release(&operators).await?;
+    println!("release {version} accepted");
+    for host in &cell.hosts {
+        let operators = host.operators();
+        until("the release is in force", || ready(&operators)).await?;
+    }
+    println!("release {version} in force on all hosts");
+
+    let journal = Journal::default();
+    let mut upstreams = Vec::new();
+    for zone in &ZONES[..2] {
+        let hosts = cell.platform(zone);
+        upstreams.push(Upstream::start("lead-desk", zone, 8, &hosts, &journal).await?);
+    }
+    let workers: Vec<Worker> = ZONES
+        .iter()
+        .zip(["r1", "r2", "r3"])
+        .map(|(zone, rack)| start_worker(zone, rack, &cell.platform(zone), &journal))
+        .collect();
+    println!("upstreams: {}", upstreams.iter().map(Upstream::addr).collect::<Vec<_>>().join(", "));
+    println!("workers: {}", workers.iter().map(Worker::name).collect::<Vec<_>>().join(", "));
+
+    let callers = cell.hosts[2].callers();
+    let reply = until("a request is answered", || ask(&callers)).await?;
+    println!("request answered: {}", reply.trim());
+
+    submit(&operators, "nightly-sync", "batch", 3, &["run", "0.2"]).await?;
+    submit(&operators, "venue-match", "all-at-once", 2, &["run", "0.2"]).await?;
+    let expected =
+        [("planning/desk", 3), ("planning/nightly-sync", 3), ("planning/venue-match", 2)];
+    for (job, runs) in expected {
+        until(job, || async { (journal.runs_of(job).len() >= runs).then_some(()) }).await?;
+        for run in journal.runs_of(job) {
+            println!("{job} task {} ran on {} (fence {})", run.index, run.worker, run.fence);
+        }
+    }
+    if !journal.doubled().is_empty() {
+        return Err("a task ran in two places".into());
+    }
+    for host in &mut cell.hosts {
+        let code = host.stop()?;
+        println!("{} stopped with exit code {code:?}", host.name);
+        if code != Some(0) {
+            return Err(format!("{} did not stop gracefully", host.name).into());
+        }
+    }
+    Ok(())
+}
+
+/// The daemon, built beside this example.
+fn program() -> Result<PathBuf, Failure> {
+    let mut path = std::env::current_exe()?;
+    path.pop();
+    path.pop();
+    path.push("ebonywalkd");
+    if !path.exists() {
+        return Err(format!("{} is missing: build the workspace first", path.display()).into());
+    }
+    Ok(path)
+}
+
+fn names(hosts: &[standin::HostProcess]) -> String {
+    hosts.iter().map(|h| h.name.as_str()).collect::<Vec<_>>().join(", ")
+}
+
+fn start_worker(
+    zone: &str,
+    rack: &str,
+    hosts: &[std::net::SocketAddr],
+    journal: &Journal,
+) -> Worker {
+    let capacity = Resources { cpu: 8_000, memory: 16 << 30, accelerators: 0 };
+    let options = WorkerOptions {
+        name: format!("{zone}-w1"),
+        rack: rack.to_string(),
+        capacity,
+        fails: false,
+    };
+    Worker::start(options, hosts, journal)
+}
+
+async fn apply_release(operators: &Client) -> Result<u64, Failure> {
+    let note = json!({
+        "base": 0,
+        "services": [{"name": "lead-desk", "timeout": "5s",
+            "objective": {"answer_within": "250ms", "target": 0.99}}],
+        "add": [{"team": "planning", "name": "desk", "class": "service", "tasks": 3,
+            "resources": {"cpu": "1", "memory": "1GiB"}, "command": ["serve"]}],
+        "quotas": [{"team": "planning", "weight": 1.0}],
+    });
+    let body = json!({"request": "demo-1", "note": note});
+    let outcome = until("the release is accepted", || async {
+        operators.post::<_, Value>("/v1/release", &body).await.ok()
+    })
+    .await?;
+    Ok(outcome.pointer("/Accepted/version").and_then(Value::as_u64).ok_or("not accepted")?)
+}
+
+async fn ready(operators: &Client) -> Option<()> {
+    let reply = operators.send(client::Method::Get, "/readyz", &[], Vec::new()).await.ok()?;
+    (reply.status == 200).then_some(())
+}
+
+async fn ask(callers: &Client) -> Option<String> {
+    let path = "/lead-desk/inquiries/17";
+    let headers = [("idempotency-key", "demo-17")];
+    let reply = callers.send(client::Method::Post, path, &headers, b"hello".to_vec()).await.ok()?;
+    let ran = reply.status == 200 && reply.header("ebonywalk-outcome") == Some("ran");
+    ran.then(|| reply.text())
+}
+
+async fn submit(
+    operators: &Client,
+    name: &str,
+    class: &str,
+    tasks: u32,
+    command: &[&str],
+) -> Result<(), Failure> {
+    let spec = json!({
+        "team": "planning", "name": name, "class": class, "tasks": tasks,
+        "resources": {"cpu": "500m", "memory": "256MiB"}, "command": command, "run_time": "1s",
+    });
+    let _: Value = operators.post("/v1/jobs", &spec).await?;
+    println!("submitted planning/{name}");
+    Ok(())
+}
+
+/// Tries until something happens.
+async fn until<F, Fut, T>(what: &str, f: F) -> Result<T, Failure>
+where
+    F: Fn() -> Fut,
+    Fut: std::future::Future<Output = Option<T>>,
+{
+    let give_up = Instant::now() + PATIENCE;
+    while Instant::now() < give_up {
+        if let Some(value) = f().await {
+            return Ok(value);
+        }
+        task::sleep(Duration::from_millis(50)).await;
+    }
+    Err(format!("{what}: did not happen within {PATIENCE:?}").into())
+}
--- /dev/null
+++ b/crates/daemon/src/config.rs
@@ -0,0 +1,44 @@
+//! From settings to the checked configuration of a host.
+
+use host::{GroupId, HostConfig, HostConfigBuilder, InitialMember};
+use placement::Policy;
+use settings::{cell_voters, zone_voters, Settings, Voter};
+
+/// The host's configuration, and which groups its data folder may hold.
+pub(crate) fn host_config(settings: &Settings) -> HostConfig {
+    let mut builder = HostConfigBuilder::new(&settings.host, &settings.zone)
+        .policy(Policy::named(&settings.policy).unwrap_or_default())
+        .worker_lease(settings.worker_lease)
+        .upstream_silence(settings.upstream_silence)
+        .max_waiting(settings.limits.waiting)
+        .max_timeout(settings.limits.timeout);
+    for entry in settings.hosts.iter().filter(|entry| entry.host != settings.host) {
+        builder = builder.peer(&entry.host, &entry.zone);
+    }
+    for (group, voters) in groups(settings) {
+        builder = builder.group(group, voters.into_iter().map(initial_member).collect());
+    }
+    builder.build()
+}
+
+fn initial_member(voter: Voter) -> InitialMember {
+    let role = if voter.witness { consensus::Role::Witness } else { consensus::Role::Voter };
+    InitialMember { host: voter.host, role }
+}
+
+/// All groups of the cell with their members.
+fn groups(settings: &Settings) -> Vec<(GroupId, Vec<Voter>)> {
+    let mut zones: Vec<&String> = settings.hosts.iter().map(|entry| &entry.zone).collect();
+    zones.sort();
+    zones.dedup();
+    let zone_group =
+        |zone: &String| (GroupId::Zone(zone.clone()), zone_voters(&settings.hosts, zone));
+    let cell = (GroupId::Cell, cell_voters(&settings.hosts));
+    zones.into_iter().map(zone_group).chain([cell]).collect()
+}
+
+/// Groups that this host is to be a member of.
+pub(crate) fn own_groups(settings: &Settings) -> Vec<GroupId> {
+    let mine = |voters: &[Voter]| voters.iter().any(|voter| voter.host == settings.host);
+    groups(settings).into_iter().filter(|(_, voters)| mine(voters)).map(|(id, _)| id).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/engine.rs
@@ -0,0 +1,205 @@
+//! The engine: the one thread that owns the host and its data folder.
+
+use crate::clock::Clock;
+use crate::config::{host_config, own_groups};
+use crate::exchanges::EngineHandle;
+use crate::peers::PeerSenders;
+use crate::Error;
+use consensus::Restored;
+use host::{GroupId, Host, HostStats, Input, Output, Start};
+use settings::Settings;
+use std::path::Path;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use storage::{DataFolder, GroupStore};
+use tokio_util::sync::CancellationToken;
+use types::{Release, SortedMap, Timestamp};
+
+/// Inputs handled between two writes to the disk.
+const MAX_BATCH: usize = 512;
+/// Longest sleep, so that cancellation is noticed.
+const LONGEST_SLEEP: Duration = Duration::from_millis(200);
+/// How often counts and gauges are published.
+const STATS_EVERY: Duration = Duration::from_secs(1);
+
+/// Counts and gauges of the host, published about once a second.
+pub(crate) type SharedStats = Arc<Mutex<HostStats>>;
+
+/// Files of the host's groups, and what it read from them.
+struct Disk {
+    folder: Option<DataFolder>,
+    stores: SortedMap<GroupId, GroupStore>,
+}
+
+/// Everything that the engine's thread owns.
+pub(crate) struct Engine {
+    host: Host,
+    disk: Disk,
+    clock: Clock,
+    inputs: Receiver<Input>,
+    handle: EngineHandle,
+    peers: PeerSenders,
+    stats: SharedStats,
+    next_stats: Timestamp,
+}
+
+impl Engine {
+    /// Opens the data folder and builds the host from what it holds.
+    pub(crate) fn open(
+        settings: &Settings,
+        clock: Clock,
+        inputs: Receiver<Input>,
+        handle: EngineHandle,
+        peers: PeerSenders,
+        stats: SharedStats,
+    ) -> Result<Engine, Error> {
+        let mut disk = Disk { folder: None, stores: SortedMap::default() };
+        let mut rng = fastrand::Rng::new();
+        let mut start = Start {
+            member: rng.u64(1..),
+            process: rng.u64(1..),
+            now: clock.now(),
+            seed: rng.u64(..),
+            ..Start::default()
+        };
+        if let Some(path) = &settings.data {
+            disk.open(path, settings, &mut start)?;
+        }
+        log::info!(host = settings.host.as_str(), member = start.member; "data folder open");
+        let host = Host::new(host_config(settings), start);
+        let next_stats = clock.now();
+        Ok(Engine { host, disk, clock, inputs, handle, peers, stats, next_stats })
+    }
+
+    /// Runs until `stop` is cancelled. An error means that the disk failed: nothing was said to
+    /// anybody since.
+    pub(crate) fn run(mut self, stop: &CancellationToken) -> Result<(), Error> {
+        while !stop.is_cancelled() {
+            let sleep = self.clock.until(self.host.next_wakeup()).min(LONGEST_SLEEP);
+            match self.inputs.recv_timeout(sleep) {
+                Ok(input) => self.handle_batch(input),
+                Err(RecvTimeoutError::Timeout) => self.host.handle(self.clock.now(), Input::Tick),
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+            let outputs = self.host.finish(self.clock.now());
+            self.carry_out(outputs)?;
+            self.publish();
+        }
+        Ok(())
+    }
+
+    fn handle_batch(&mut self, first: Input) {
+        self.host.handle(self.clock.now(), first);
+        for _ in 1..MAX_BATCH {
+            let Ok(input) = self.inputs.try_recv() else { return };
+            self.host.handle(self.clock.now(), input);
+        }
+    }
+
+    /// Durable outputs come first and are synced once, before anything leaves.
+    fn carry_out(&mut self, outputs: Vec<Output>) -> Result<(), Error> {
+        let mut synced = false;
+        for output in outputs {
+            if output.is_durable() {
+                self.disk.write(output)?;
+                continue;
+            }
+            if !synced {
+                self.disk.sync()?;
+                synced = true;
+            }
+            self.let_out(output);
+        }
+        if !synced {
+            self.disk.sync()?;
+        }
+        Ok(())
+    }
+
+    fn let_out(&self, output: Output) {
+        match output {
+            Output::Send(to, message) => self.peers.send(&to, message),
+            Output::Answer(exchange, _)
+            | Output::Deliver(exchange)
+            | Output::Replay(exchange, _)
+            | Output::Forward { exchange, .. }
+            | Output::GiveUp { exchange, .. } => self.handle.deliver(exchange, output),
+            Output::Persist(..) | Output::Form(..) | Output::SaveRelease(_) => {
+                unreachable!("durable outputs are written")
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        let now = self.clock.now();
+        if now < self.next_stats {
+            return;
+        }
+        self.next_stats = now + STATS_EVERY;
+        let mut next = self.host.take_stats();
+        let mut shared = self.stats.lock().expect("no one panics with the lock");
+        next.waits.splice(0..0, std::mem::take(&mut shared.waits));
+        *shared = next;
+    }
+}
+
+impl Disk {
+    fn open(&mut self, path: &Path, settings: &Settings, start: &mut Start) -> Result<(), Error> {
+        let folder = DataFolder::open(path, &settings.host, &settings.zone, start.seed)?;
+        start.member = folder.identity().member;
+        start.release = folder.read_release()?.unwrap_or_else(Release::default);
+        for id in own_groups(settings) {
+            let (store, found) = folder.open_group(&id.to_string())?;
+            self.stores.insert(id.clone(), store);
+            if let Some(restored) = found {
+                log_restored(&id, &restored);
+                start.groups.insert(id, restored);
+            }
+        }
+        self.folder = Some(folder);
+        Ok(())
+    }
+
+    fn write(&mut self, output: Output) -> Result<(), Error> {
+        match output {
+            Output::Persist(id, ready) => {
+                if let Some(store) = self.stores.get_mut(&id) {
+                    store.append(&ready)?;
+                }
+            }
+            Output::Form(id, config) => {
+                if let Some(store) = self.stores.get_mut(&id) {
+                    store.form(&config)?;
+                }
+                log::info!(group = id.to_string().as_str(); "group formed");
+            }
+            Output::SaveRelease(release) => {
+                if let Some(folder) = &self.folder {
+                    folder.save_release(&release)?;
+                }
+                log::info!(version = release.version, digest = release.digest.as_str();
+                    "release in force");
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn sync(&mut self) -> Result<(), Error> {
+        for store in self.stores.values_mut() {
+            store.sync()?;
+        }
+        Ok(())
+    }
+}
+
+fn log_restored(id: &GroupId, restored: &Restored) {
+    log::info!(
+        group = id.to_string().as_str(),
+        term = restored.hard_state.term,
+        snapshot = restored.snapshot.index,
+        entries = restored.entries.len();
+        "group restored"
+    );
+}
--- /dev/null
+++ b/crates/daemon/src/http/mod.rs
@@ -0,0 +1,57 @@
+//! The HTTP side: callers, workers and upstreams, operators.
+
+mod accept;
+mod body;
+mod callers;
+mod guard;
+mod operators;
+mod platform;
+mod reply;
+
+use crate::burn::BurnBook;
+use crate::clock::Clock;
+use crate::engine::SharedStats;
+use crate::exchanges::EngineHandle;
+use crate::metrics::Metrics;
+use crate::run::Stops;
+use crate::upstreams::Upstreams;
+use crate::Error;
+use async_std::net::TcpListener;
+use settings::Settings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What all handlers share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) handle: EngineHandle,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) metrics: Metrics,
+    pub(crate) burn: BurnBook,
+    pub(crate) stats: SharedStats,
+    pub(crate) stops: Stops,
+}
+
+impl Shared {
+    /// Requests that the host has open.
+    pub(crate) fn open_requests(&self) -> usize {
+        self.stats.lock().expect("no one panics with the lock").open_requests
+    }
+}
+
+/// Listens on all HTTP addresses.
+pub(crate) async fn listen(shared: &Arc<Shared>) -> Result<(), Error> {
+    let listen = &shared.settings.listen;
+    let callers = bind("callers", listen.callers).await?;
+    let platform = bind("platform", listen.platform).await?;
+    let operators = bind("operators", listen.operators).await?;
+    accept::spawn(callers, callers::app(shared.clone()), shared.clone());
+    accept::spawn(platform, platform::app(shared.clone()), shared.clone());
+    accept::spawn(operators, operators::app(shared.clone()), shared.clone());
+    Ok(())
+}
+
+async fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.map_err(|e| Error::Listen(what, addr, e))
+}
--- /dev/null
+++ b/crates/daemon/src/http/platform.rs
@@ -0,0 +1,55 @@
+//! Workers and upstreams.
+
+use super::{body, reply, Shared};
+use host::{Call, GroupCall, Heartbeat};
+use membership::Announcement;
+use serde::Deserialize;
+use state::WorkerSpec;
+use std::sync::Arc;
+use tide::Request;
+use types::{Incarnation, Refusal, UpstreamId};
+
+pub(crate) fn app(shared: Arc<Shared>) -> tide::Server<Arc<Shared>> {
+    let mut app = tide::with_state(shared);
+    app.at("/v1/upstreams").post(announce);
+    app.at("/v1/upstreams/leave").post(leave);
+    app.at("/v1/workers").post(register);
+    app.at("/v1/workers/heartbeat").post(heartbeat);
+    app
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Leave {
+    upstream: UpstreamId,
+    incarnation: Incarnation,
+}
+
+async fn announce(mut req: Request<Arc<Shared>>) -> tide::Result {
+    let read: Result<Announcement, Refusal> = body::read_json(&mut req).await;
+    call(req, read.map(Call::Announce)).await
+}
+
+async fn leave(mut req: Request<Arc<Shared>>) -> tide::Result {
+    let read: Result<Leave, Refusal> = body::read_json(&mut req).await;
+    let made = read.map(|l| Call::Leave { upstream: l.upstream, incarnation: l.incarnation });
+    call(req, made).await
+}
+
+async fn register(mut req: Request<Arc<Shared>>) -> tide::Result {
+    let read: Result<WorkerSpec, Refusal> = body::read_json(&mut req).await;
+    call(req, read.map(|spec| Call::Group(GroupCall::Register(spec)))).await
+}
+
+async fn heartbeat(mut req: Request<Arc<Shared>>) -> tide::Result {
+    let read: Result<Heartbeat, Refusal> = body::read_json(&mut req).await;
+    call(req, read.map(|heartbeat| Call::Group(GroupCall::Heartbeat(heartbeat)))).await
+}
+
+async fn call(req: Request<Arc<Shared>>, made: Result<Call, Refusal>) -> tide::Result {
+    let answer = match made {
+        Ok(made) => req.state().handle.call(made).await,
+        Err(e) => Err(e),
+    };
+    Ok(reply::answer(answer))
+}
--- /dev/null
+++ b/crates/daemon/src/http/reply.rs
@@ -0,0 +1,95 @@
+//! Answers as HTTP.
+
+use host::Answer;
+use serde::Serialize;
+use tide::{Response, StatusCode};
+use types::{Refusal, RefusalKind};
+
+/// The status that a refusal has.
+pub(crate) fn status_of(kind: RefusalKind) -> StatusCode {
+    match kind {
+        RefusalKind::BadInput => StatusCode::BadRequest,
+        RefusalKind::TooLarge => StatusCode::PayloadTooLarge,
+        RefusalKind::Forbidden => StatusCode::Unauthorized,
+        RefusalKind::NotFound => StatusCode::NotFound,
+        RefusalKind::Conflict => StatusCode::Conflict,
+        RefusalKind::KeyReused => StatusCode::UnprocessableEntity,
+        RefusalKind::Overloaded | RefusalKind::Unavailable => StatusCode::ServiceUnavailable,
+        RefusalKind::Unknown => StatusCode::GatewayTimeout,
+    }
+}
+
+/// A refusal as JSON, with `Retry-After` in whole seconds where it helps.
+pub(crate) fn refusal(refusal: &Refusal) -> Response {
+    let mut res = json(status_of(refusal.kind), &Problem::of(refusal));
+    if let Some(after) = refusal.retry_after {
+        let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+        res.insert_header("retry-after", seconds.max(1).to_string());
+    }
+    res
+}
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    kind: RefusalKind,
+    message: &'a str,
+}
+
+impl<'a> Problem<'a> {
+    fn of(refusal: &'a Refusal) -> Problem<'a> {
+        Problem { kind: refusal.kind, message: &refusal.message }
+    }
+}
+
+/// A value as JSON.
+pub(crate) fn json<T>(status: StatusCode, value: &T) -> Response
+where
+    T: Serialize,
+{
+    let body = serde_json::to_string(value).expect("answers are plain data");
+    Response::builder(status).content_type("application/json").body(body).build()
+}
+
+/// The answer to a call: its contents alone, without the name of the variant.
+pub(crate) fn answer(answer: Result<Answer, Refusal>) -> Response {
+    #[derive(Serialize)]
+    struct Done {
+        done: bool,
+    }
+    #[derive(Serialize)]
+    struct Registered {
+        #[serde(with = "types::quantity::duration")]
+        lease: std::time::Duration,
+    }
+    let ok = StatusCode::Ok;
+    match answer {
+        Err(e) => refusal(&e),
+        Ok(Answer::Done) => json(ok, &Done { done: true }),
+        Ok(Answer::Registered(lease)) => json(ok, &Registered { lease }),
+        Ok(Answer::Orders(orders)) => json(ok, &orders),
+        Ok(Answer::Job(job)) => json(ok, &job),
+        Ok(Answer::Jobs(jobs)) => json(ok, &jobs),
+        Ok(Answer::Workers(workers)) => json(ok, &workers),
+        Ok(Answer::Release(release)) => json(ok, &release),
+        Ok(Answer::Preview(preview)) => json(ok, &preview),
+        Ok(Answer::Status(status)) => json(ok, &status),
+        Ok(Answer::Applied(outcome)) => applied(&outcome),
+        Ok(Answer::Zones(zones)) => json(ok, &zones),
+        Ok(Answer::Record(_) | Answer::Grants(_)) => {
+            refusal(&Refusal::new(RefusalKind::BadInput, "not for use from outside"))
+        }
+    }
+}
+
+fn applied(outcome: &state::ApplyOutcome) -> Response {
+    use state::ApplyOutcome::{Accepted, Conflict, Invalid, RequestReused};
+    match outcome {
+        Accepted { .. } => json(StatusCode::Ok, outcome),
+        Conflict { .. } => json(StatusCode::Conflict, outcome),
+        Invalid { message } => refusal(&Refusal::new(RefusalKind::BadInput, message.clone())),
+        RequestReused => refusal(&Refusal::new(
+            RefusalKind::KeyReused,
+            "request: this id came before with another note",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/logs.rs
@@ -0,0 +1,18 @@
+//! Structured logs to standard error.
+
+use logforth::append::Stderr;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::{JsonLayout, TextLayout};
+use settings::{LogFormat, LogSettings};
+
+/// Starts logging as settings say.
+pub(crate) fn start(settings: &LogSettings) {
+    let modules = settings.modules.iter().map(|(module, level)| format!("{module}={level}"));
+    let spec: Vec<String> = std::iter::once(settings.level.clone()).chain(modules).collect();
+    let filter = RustLogFilterBuilder::from_spec(spec.join(",")).build();
+    let append = match settings.format {
+        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    };
+    logforth::starter_log::builder().dispatch(|d| d.filter(filter).append(append)).apply();
+}
--- /dev/null
+++ b/crates/host/src/calls.rs
@@ -0,0 +1,417 @@
+//! Calls: to the group that answers them, wherever its leader is.
+
+use crate::call::{Answer, Call, GroupCall, Preview, ZoneAnswer, ZoneCall};
+use crate::config::Weakening;
+use crate::group::{answer_of, unavailable, unknown, Read, Then};
+use crate::home::{home_of_job, home_of_key};
+use crate::host::Host;
+use crate::io::Output;
+use crate::message::{GroupId, PeerMessage};
+use crate::origin::Origin;
+use crate::views;
+use state::{CellCommand, ZoneCommand};
+use std::time::Duration;
+use types::{ExchangeId, HostId, Refusal, RefusalKind, ReleaseNote, Timestamp, ZoneName};
+
+/// How often a call is handed on before it is refused.
+const MAX_HOPS: u8 = 2;
+/// A call that was handed on and not answered for this long has an unknown outcome.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// A call from outside that nobody leads for is tried again for this long.
+const RETRY_FOR: Duration = Duration::from_secs(3);
+/// Time between tries.
+const RETRY_EVERY: Duration = Duration::from_millis(150);
+
+/// A call that another host is to answer.
+#[derive(Debug)]
+pub(crate) struct HandedOn {
+    origin: Origin,
+    call: GroupCall,
+    until: Timestamp,
+    /// While it was not done, it may be tried again until then.
+    retry_until: Timestamp,
+}
+
+/// A call that was not done and is tried again.
+#[derive(Debug)]
+pub(crate) struct Retry {
+    pub(crate) at: Timestamp,
+    until: Timestamp,
+    call: GroupCall,
+    origin: Origin,
+}
+
+/// Answers of zones, gathered for one call.
+#[derive(Debug)]
+pub(crate) struct Gather {
+    missing: usize,
+    answers: Vec<ZoneAnswer>,
+}
+
+impl Host {
+    pub(crate) fn on_call(&mut self, exchange: ExchangeId, call: Call) {
+        let origin = Origin::Exchange(exchange);
+        let now = self.now;
+        match call {
+            Call::Announce(announcement) => {
+                let outcome = self.table.announce(now, announcement);
+                self.answer(origin, outcome.map(|()| Answer::Done));
+            }
+            Call::Leave { upstream, incarnation } => {
+                let outcome = self.table.leave(now, &upstream, incarnation);
+                self.answer(origin, outcome.map(|()| Answer::Done));
+            }
+            Call::Release => {
+                let release = Box::new(self.release.current().clone());
+                self.answer(origin, Ok(Answer::Release(release)));
+            }
+            Call::Preview(note) => {
+                let preview = self.preview(&note).map(Answer::Preview);
+                self.answer(origin, preview);
+            }
+            Call::Status => {
+                let status = Box::new(self.status());
+                self.answer(origin, Ok(Answer::Status(status)));
+            }
+            Call::Group(call) => match self.check_zones(&call) {
+                Ok(()) => self.call_group(call, origin, MAX_HOPS, now + RETRY_FOR),
+                Err(refusal) => self.answer(origin, Err(refusal)),
+            },
+            Call::EachZone(call) => self.call_each_zone(exchange, &call),
+        }
+    }
+
+    fn preview(&self, note: &ReleaseNote) -> Result<Preview, Refusal> {
+        self.check_note_zones(note)?;
+        let current = self.release.current();
+        let next = current.apply(note, "").map_err(|cause| {
+            let kind = if note.base == current.version {
+                RefusalKind::BadInput
+            } else {
+                RefusalKind::Conflict
+            };
+            Refusal::new(kind, cause)
+        })?;
+        let changes = views::changes(current, &next);
+        Ok(Preview { base: current.version, version: next.version, changes })
+    }
+
+    fn check_zones(&self, call: &GroupCall) -> Result<(), Refusal> {
+        match call {
+            GroupCall::Submit(spec) => self.check_zone("zone", spec.zone.as_ref()),
+            GroupCall::ApplyRelease { note, .. } => self.check_note_zones(note),
+            GroupCall::Zone(zone, _) => self.check_zone("zone", Some(zone)),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_note_zones(&self, note: &ReleaseNote) -> Result<(), Refusal> {
+        for (list, specs) in [("add", &note.add), ("change", &note.change)] {
+            for (i, spec) in specs.iter().enumerate() {
+                self.check_zone(&format!("{list}[{i}].zone"), spec.zone.as_ref())?;
+            }
+        }
+        Ok(())
+    }
+
+    fn check_zone(&self, field: &str, zone: Option<&ZoneName>) -> Result<(), Refusal> {
+        match zone {
+            Some(zone) if self.zones.binary_search(zone).is_err() => {
+                let known = self.zones.join(", ");
+                let message = format!("{field}: `{zone}` is not a zone of this cell ({known})");
+                Err(Refusal::new(RefusalKind::BadInput, message))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// The group whose leader answers a call.
+    fn group_of(&self, call: &GroupCall) -> GroupId {
+        match call {
+            GroupCall::Register(_) | GroupCall::Heartbeat(_) => {
+                GroupId::Zone(self.cfg.zone.clone())
+            }
+            GroupCall::Submit(spec) => {
+                GroupId::Zone(home_of_job(&spec.key(), spec.zone.as_ref(), &self.zones))
+            }
+            GroupCall::ApplyRelease { .. } => GroupId::Cell,
+            GroupCall::RecordBegin { key, .. } | GroupCall::RecordFinish { key, .. } => {
+                // The service comes before the caller's own key.
+                let own = key.split_once('/').map_or(key.as_str(), |(_, own)| own);
+                GroupId::Zone(home_of_key(own, &self.zones))
+            }
+            GroupCall::Shares { zone, .. } | GroupCall::Zone(zone, _) => {
+                GroupId::Zone(zone.clone())
+            }
+        }
+    }
+
+    /// Answers a call as leader, or hands it on.
+    pub(crate) fn call_group(
+        &mut self,
+        call: GroupCall,
+        origin: Origin,
+        hops: u8,
+        retry_until: Timestamp,
+    ) {
+        let group = self.group_of(&call);
+        if self.leads(&group) {
+            self.lead_call(&group, call, origin);
+            return;
+        }
+        let next = if hops > 0 { self.next_hop(&group, &origin) } else { None };
+        let Some(host) = next else {
+            self.not_done(call, origin, retry_until);
+            return;
+        };
+        self.last_call += 1;
+        let id = self.last_call;
+        let until = self.now + CALL_TIMEOUT + hold_time(&call);
+        let message = PeerMessage::Call { id, hops: hops - 1, call: Box::new(call.clone()) };
+        self.handed_on.insert(id, HandedOn { origin, call, until, retry_until });
+        self.send(&host, message);
+    }
+
+    fn next_hop(&mut self, group: &GroupId, origin: &Origin) -> Option<HostId> {
+        if let Some(leader) = self.groups.get(group).and_then(|g| g.raft.leader_host()) {
+            let is_other = *leader != self.cfg.host;
+            if is_other && !matches!(origin, Origin::Peer(from, _) if from == leader) {
+                return Some(leader.clone());
+            }
+        }
+        let members: Vec<HostId> = match self.cfg.groups.get(group) {
+            Some(members) => members.iter().map(|m| m.host.clone()).collect(),
+            None => Vec::new(),
+        };
+        self.peers.next_hop(group, &members, self.now)
+    }
+
+    /// A call that certainly was not done: again soon where its asker can wait, else refused.
+    fn not_done(&mut self, call: GroupCall, origin: Origin, until: Timestamp) {
+        let at = self.now + RETRY_EVERY;
+        let from_here = !matches!(origin, Origin::Peer(..) | Origin::Shares(..));
+        if from_here && at < until {
+            self.retries.push(Retry { at, until, call, origin });
+            return;
+        }
+        let group = self.group_of(&call);
+        self.answer(origin, Err(unavailable(&group)));
+    }
+
+    pub(crate) fn retry_calls(&mut self) {
+        let now = self.now;
+        let (due, later) =
+            std::mem::take(&mut self.retries).into_iter().partition(|retry| retry.at <= now);
+        self.retries = later;
+        let due: Vec<Retry> = due;
+        for retry in due {
+            self.call_group(retry.call, retry.origin, MAX_HOPS, retry.until);
+        }
+    }
+
+    /// A call from another host.
+    pub(crate) fn on_peer_call(&mut self, from: HostId, id: u64, hops: u8, call: GroupCall) {
+        self.call_group(call, Origin::Peer(from, id), hops, self.now);
+    }
+
+    /// The answer to a call that was handed on.
+    pub(crate) fn on_call_answer(&mut self, id: u64, answer: Result<Answer, Refusal>) {
+        let Some(call) = self.handed_on.remove(&id) else { return };
+        let not_done = matches!(&answer, Err(refusal) if refusal.kind == RefusalKind::Unavailable);
+        if not_done {
+            self.not_done(call.call, call.origin, call.retry_until);
+        } else {
+            self.answer(call.origin, answer);
+        }
+    }
+
+    /// Answers what nobody will answer any more.
+    pub(crate) fn expire_calls(&mut self) {
+        let now = self.now;
+        let expired = self.handed_on.iter().filter(|(_, call)| call.until <= now);
+        let ids: Vec<u64> = expired.map(|(id, _)| *id).collect();
+        for id in ids {
+            let call = self.handed_on.remove(&id).expect("taken from the calls");
+            self.answer(call.origin, Err(unknown()));
+        }
+        let mut forgotten = Vec::new();
+        for group in self.groups.values_mut() {
+            let late = |since: Timestamp| now >= since + CALL_TIMEOUT;
+            let old = group.waiters.iter().filter(|(_, waiter)| late(waiter.since));
+            let old: Vec<u64> = old.map(|(index, _)| *index).collect();
+            for index in old {
+                forgotten.extend(group.waiters.remove(&index).map(|waiter| waiter.then));
+            }
+            let (old, kept) =
+                std::mem::take(&mut group.readers).into_iter().partition(|r| late(r.since));
+            group.readers = kept;
+            let old: Vec<crate::group::Reader> = old;
+            forgotten.extend(old.into_iter().map(|reader| then_of(reader.then)));
+        }
+        for then in forgotten {
+            self.drop_waiter(then);
+        }
+    }
+
+    /// Tells someone whose command or read will not be answered.
+    pub(crate) fn drop_waiter(&mut self, then: Then) {
+        match then {
+            Then::Answer(origin) | Then::Heartbeat(_, origin) | Then::Registered(_, origin) => {
+                self.answer(origin, Err(unknown()))
+            }
+            Then::Planned | Then::Adopted | Then::Nothing => {}
+        }
+    }
+
+    /// A call for a group that this host leads.
+    fn lead_call(&mut self, id: &GroupId, call: GroupCall, origin: Origin) {
+        let at = self.now;
+        match call {
+            GroupCall::Register(spec) => {
+                let then = Then::Registered(spec.worker.clone(), origin);
+                self.propose(id, ZoneCommand::Register { spec, at }, then);
+            }
+            GroupCall::Heartbeat(heartbeat) => self.lead_heartbeat(id, heartbeat, origin),
+            GroupCall::Submit(spec) => match self.check_submission(id, &spec) {
+                Ok(()) => self.propose(id, ZoneCommand::Submit { spec, at }, Then::Answer(origin)),
+                Err(refusal) => self.answer(origin, Err(refusal)),
+            },
+            GroupCall::ApplyRelease { request, note, digest } => {
+                let command = CellCommand::Apply { request, note, digest, at };
+                let group = self.groups.get_mut(id).expect("it leads the group");
+                if let Err(then) = group.propose_cell(at, &command, Then::Answer(origin)) {
+                    self.refuse_unavailable(id, then);
+                }
+            }
+            GroupCall::RecordBegin { key, digest, owner } => {
+                let command = ZoneCommand::RecordBegin { key, digest, owner, at };
+                self.propose(id, command, Then::Answer(origin));
+            }
+            GroupCall::RecordFinish { key, owner, outcome } => {
+                let command = ZoneCommand::RecordFinish { key, owner, outcome, at };
+                self.propose(id, command, Then::Answer(origin));
+            }
+            GroupCall::Zone(_, ZoneCall::Cancel(job)) => {
+                self.propose(id, ZoneCommand::Cancel { job, at }, Then::Answer(origin));
+            }
+            GroupCall::Zone(_, ZoneCall::DrainWorker { worker, draining }) => {
+                let command = ZoneCommand::Drain { worker, draining };
+                self.propose(id, command, Then::Answer(origin));
+            }
+            read => self.read(id, Read::Answer(origin, read)),
+        }
+    }
+
+    fn check_submission(&self, id: &GroupId, spec: &types::JobSpec) -> Result<(), Refusal> {
+        let bad = |cause| Refusal::new(RefusalKind::BadInput, cause);
+        spec.check().map_err(bad)?;
+        let Some(zone) = self.groups.get(id).and_then(|group| group.zone()) else {
+            return Ok(());
+        };
+        // What is there already was checked when it came.
+        if zone.find_job(&spec.key()).is_some() {
+            return Ok(());
+        }
+        let present = zone.workers().values().filter(|worker| worker.lost_at.is_none());
+        let cell = placement::Cell { workers: present.map(|worker| worker.capacity).collect() };
+        placement::admit(spec, &cell).map_err(bad)
+    }
+
+    pub(crate) fn propose(&mut self, id: &GroupId, command: ZoneCommand, then: Then) {
+        let now = self.now;
+        let Some(group) = self.groups.get_mut(id) else { return };
+        if let Err(then) = group.propose_zone(now, &command, then) {
+            self.refuse_unavailable(id, then);
+        }
+    }
+
+    /// The command was not taken, so it was not done.
+    fn refuse_unavailable(&mut self, id: &GroupId, then: Then) {
+        match then {
+            Then::Answer(origin) | Then::Heartbeat(_, origin) | Then::Registered(_, origin) => {
+                self.answer(origin, Err(unavailable(id)))
+            }
+            Then::Planned | Then::Adopted | Then::Nothing => {}
+        }
+    }
+
+    /// Waits until it is confirmed that this host leads, and goes on then.
+    pub(crate) fn read(&mut self, id: &GroupId, read: Read) {
+        if self.cfg.weakened(Weakening::SkipConfirmation) {
+            self.complete_read(id, read);
+            return;
+        }
+        let now = self.now;
+        if let Some(group) = self.groups.get_mut(id) {
+            group.new_readers.push((now, read));
+        }
+    }
+
+    /// Goes on with a read, once it is confirmed that this host leads.
+    pub(crate) fn complete_read(&mut self, id: &GroupId, read: Read) {
+        match read {
+            Read::Heartbeat(heartbeat, origin) => self.finish_heartbeat(id, heartbeat, origin),
+            Read::Answer(origin, GroupCall::Shares { host, from, asks, zone }) => {
+                let (now, own) = (self.now, from == zone);
+                let leader = self.groups.get_mut(id).and_then(|group| group.leader.as_mut());
+                let grants = leader.map(|leader| leader.ledger.renew(now, &host, own, &asks));
+                let answer = grants.map(Answer::Grants).ok_or_else(|| unavailable(id));
+                self.answer(origin, answer);
+            }
+            Read::Answer(origin, GroupCall::Zone(zone, call)) => {
+                let group = self.groups.get(id).expect("reads wait at a group");
+                let answer = views::answer(group, &zone, &call, self.now);
+                self.answer(origin, answer);
+            }
+            Read::Answer(origin, _) => self.answer(origin, Err(unavailable(id))),
+        }
+    }
+
+    fn call_each_zone(&mut self, exchange: ExchangeId, call: &ZoneCall) {
+        let zones = self.zones.clone();
+        let gather = Gather { missing: zones.len(), answers: Vec::new() };
+        self.gathers.insert(exchange, gather);
+        for zone in zones {
+            let origin = Origin::Gather(exchange, zone.clone());
+            let call = GroupCall::Zone(zone, call.clone());
+            self.call_group(call, origin, MAX_HOPS, self.now + RETRY_FOR / 2);
+        }
+    }
+
+    pub(crate) fn gather(
+        &mut self,
+        exchange: ExchangeId,
+        zone: ZoneName,
+        answer: Result<Answer, Refusal>,
+    ) {
+        let Some(gather) = self.gathers.get_mut(&exchange) else { return };
+        gather.answers.push(ZoneAnswer { zone, answer: answer.map(Box::new) });
+        gather.missing -= 1;
+        if gather.missing > 0 {
+            return;
+        }
+        let mut answers = self.gathers.remove(&exchange).expect("looked up above").answers;
+        answers.sort_by(|a, b| a.zone.cmp(&b.zone));
+        self.out.push(Output::Answer(exchange, Ok(Answer::Zones(answers))));
+    }
+
+    /// The answer to a committed command.
+    pub(crate) fn reply(&mut self, origin: Origin, reply: state::Reply) {
+        self.answer(origin, answer_of(reply));
+    }
+}
+
+fn then_of(read: Read) -> Then {
+    match read {
+        Read::Answer(origin, _) => Then::Answer(origin),
+        Read::Heartbeat(heartbeat, origin) => Then::Heartbeat(heartbeat, origin),
+    }
+}
+
+/// How long the answer to a call may be held back on purpose.
+fn hold_time(call: &GroupCall) -> Duration {
+    match call {
+        GroupCall::Heartbeat(heartbeat) => heartbeat.wait,
+        _ => Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/host/src/drive.rs
@@ -0,0 +1,321 @@
+//! Driving the groups: what to write and send, what has taken effect, who may be answered.
+
+use crate::group::{unavailable, Group, Machine, Reader, Then};
+use crate::host::Host;
+use crate::io::Output;
+use crate::leader::ZoneLeader;
+use crate::message::{GroupId, PeerMessage};
+use consensus::{Entry, Payload, Ready};
+use state::{CellCommand, Effects, Reply, ZoneCommand};
+use types::{HostId, MemberId};
+
+impl Host {
+    /// One round over all groups. True when another may find something to do.
+    pub(crate) fn drive_groups(&mut self) -> bool {
+        let ids: Vec<GroupId> = self.groups.keys().cloned().collect();
+        let mut busy = false;
+        for id in &ids {
+            busy |= self.drive(id);
+        }
+        busy
+    }
+
+    fn drive(&mut self, id: &GroupId) -> bool {
+        self.follow_leadership(id);
+        self.do_duties(id);
+        self.begin_reads(id);
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        let idle = group.raft.is_idle();
+        let ready = group.raft.take_ready();
+        if !idle {
+            self.apply_ready(id, ready);
+        }
+        self.complete_reads(id);
+        !idle
+    }
+
+    /// Takes up or lays down what a leader keeps.
+    fn follow_leadership(&mut self, id: &GroupId) {
+        let now = self.now;
+        let seed = self.rng.u64(..);
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        let term = group.raft.is_settled_leader().then(|| group.raft.term());
+        if group.led == term {
+            return;
+        }
+        group.led = term;
+        let old = group.leader.take();
+        if let (Some(_), Machine::Zone(zone), GroupId::Zone(name)) = (term, &group.machine, id) {
+            let leader = ZoneLeader::new(now, &self.cfg, seed, name, zone);
+            group.leader = Some(Box::new(leader));
+        }
+        self.beat_due = true;
+        for parked in old.into_iter().flat_map(|old| old.into_parked()) {
+            self.answer(parked.origin, Err(unavailable(id)));
+        }
+    }
+
+    /// One confirmation round for all reads that came since the last one began.
+    fn begin_reads(&mut self, id: &GroupId) {
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        if group.new_readers.is_empty() {
+            return;
+        }
+        let new = std::mem::take(&mut group.new_readers);
+        match group.raft.begin_round() {
+            Some(round) => group.readers.extend(new.into_iter().map(|(since, then)| Reader {
+                round,
+                since,
+                then,
+            })),
+            None => {
+                for (_, read) in new {
+                    self.complete_read(id, read);
+                }
+            }
+        }
+    }
+
+    fn complete_reads(&mut self, id: &GroupId) {
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        if group.readers.is_empty() {
+            return;
+        }
+        let confirmed = group.raft.confirmed_round();
+        let leads = group.raft.is_leader();
+        let readers = std::mem::take(&mut group.readers);
+        let (done, waiting) =
+            readers.into_iter().partition(|reader| !leads || Some(reader.round) <= confirmed);
+        group.readers = waiting;
+        let done: Vec<Reader> = done;
+        for reader in done {
+            if leads {
+                self.complete_read(id, reader.then);
+            } else {
+                self.refuse_read(id, reader.then);
+            }
+        }
+    }
+
+    fn refuse_read(&mut self, id: &GroupId, read: crate::group::Read) {
+        let (crate::group::Read::Answer(origin, _) | crate::group::Read::Heartbeat(_, origin)) =
+            read;
+        self.answer(origin, Err(unavailable(id)));
+    }
+
+    fn apply_ready(&mut self, id: &GroupId, mut ready: Ready) {
+        let messages = std::mem::take(&mut ready.messages);
+        let committed = std::mem::take(&mut ready.committed);
+        if ready.restore {
+            self.restore(id, &ready);
+        }
+        let durable =
+            ready.snapshot.is_some() || !ready.entries.is_empty() || ready.hard_state.is_some();
+        if durable {
+            self.out.push(Output::Persist(id.clone(), ready));
+        }
+        for envelope in messages {
+            if let Some(host) = self.host_of(id, envelope.to) {
+                self.send(&host, PeerMessage::Raft(id.clone(), envelope));
+            }
+        }
+        for entry in committed {
+            self.apply_entry(id, entry);
+        }
+        self.compact_if_due(id);
+    }
+
+    /// The state starts again from a snapshot that the leader sent.
+    fn restore(&mut self, id: &GroupId, ready: &Ready) {
+        let weakening = match self.cfg.weakening {
+            crate::config::Weakening::State(weakening) => weakening,
+            _ => Default::default(),
+        };
+        let snapshot = ready.snapshot.as_ref().expect("a restore comes with its snapshot");
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        group.machine = Machine::new(id, &snapshot.data, weakening);
+        let waiters = std::mem::take(&mut group.waiters);
+        for waiter in into_values(waiters) {
+            self.drop_waiter(waiter.then);
+        }
+        self.take_release_from(id);
+    }
+
+    fn host_of(&self, id: &GroupId, member: MemberId) -> Option<HostId> {
+        let group = self.groups.get(id)?;
+        Some(group.raft.config().get(member)?.host.clone()).or_else(|| self.sender_of(id, member))
+    }
+
+    /// Before this host knows the members it answers whoever wrote to it.
+    fn sender_of(&self, id: &GroupId, member: MemberId) -> Option<HostId> {
+        self.groups.get(id)?.correspondents.get(&member).cloned()
+    }
+
+    fn apply_entry(&mut self, id: &GroupId, entry: Entry) {
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        let waiter = group.waiters.remove(&entry.index);
+        let ours = waiter.as_ref().is_some_and(|waiter| waiter.term == entry.term);
+        let mut then = waiter.map(|waiter| waiter.then);
+        if !ours {
+            if let Some(then) = then.take() {
+                self.drop_waiter(then);
+            }
+        }
+        let Payload::Command(data) = entry.payload else { return };
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        match &mut group.machine {
+            Machine::Cell(_) => self.apply_cell(id, &data, then),
+            Machine::Zone(zone) => {
+                let command: ZoneCommand =
+                    postcard::from_bytes(&data).expect("the log holds what this program wrote");
+                let (reply, effects) = zone.apply(command);
+                self.follow_effects(id, &effects);
+                self.go_on(id, then, reply);
+            }
+        }
+    }
+
+    fn apply_cell(&mut self, id: &GroupId, data: &[u8], then: Option<Then>) {
+        let command: CellCommand =
+            postcard::from_bytes(data).expect("the log holds what this program wrote");
+        let CellCommand::Apply { note, digest, .. } = &command;
+        let kept = (note.clone(), digest.clone());
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        let Machine::Cell(cell) = &mut group.machine else { return };
+        let before = cell.release().version;
+        let outcome = cell.apply(command);
+        let after = cell.release().version;
+        if after > before {
+            self.release.keep_note(after, kept.0, kept.1);
+            self.take_release_from(id);
+        }
+        if let Some(Then::Answer(origin)) = then {
+            self.answer(origin, Ok(crate::call::Answer::Applied(outcome)));
+        }
+    }
+
+    /// Puts the release of the cell's group in force here.
+    fn take_release_from(&mut self, id: &GroupId) {
+        let Some(Machine::Cell(cell)) = self.groups.get(id).map(|group| &group.machine) else {
+            return;
+        };
+        if self.release.set(cell.release()) {
+            self.release_changed();
+        }
+    }
+
+    pub(crate) fn release_changed(&mut self) {
+        let release = Box::new(self.release.current().clone());
+        self.out.push(Output::SaveRelease(release));
+        self.beat_due = true;
+    }
+
+    fn follow_effects(&mut self, id: &GroupId, effects: &Effects) {
+        let now = self.now;
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        let (Some(leader), Machine::Zone(zone)) = (&mut group.leader, &group.machine) else {
+            return;
+        };
+        leader.follow(zone, effects, now);
+        for fence in &effects.placed {
+            let Some(run) = zone.runs().get(fence) else { continue };
+            let Some(job) = zone.jobs().get(&run.job) else { continue };
+            let class = if job.spec.urgent { "urgent" } else { class_name(job.spec.class) };
+            let wait = run.placed.saturating_sub(job.submitted);
+            self.stats.waits.push((class.to_string(), wait));
+        }
+        self.stats.placements += effects.placed.len() as u64;
+        if !effects.workers.is_empty() {
+            self.wake_parked(id, &effects.workers);
+        }
+    }
+
+    /// Goes on with whatever waited for a command.
+    fn go_on(&mut self, id: &GroupId, then: Option<Then>, reply: Reply) {
+        match then {
+            Some(Then::Answer(origin)) => self.reply(origin, reply),
+            Some(Then::Registered(worker, origin)) => self.registered(id, worker, origin, reply),
+            Some(Then::Heartbeat(heartbeat, origin)) => {
+                self.finish_heartbeat(id, heartbeat, origin)
+            }
+            Some(Then::Planned) => {
+                if let Some(leader) = self.leader_mut(id) {
+                    leader.plan_in_flight = None;
+                }
+            }
+            Some(Then::Adopted) => {
+                if let Some(leader) = self.leader_mut(id) {
+                    leader.adoption_in_flight = None;
+                }
+                self.refresh_quotas(id);
+            }
+            Some(Then::Nothing) | None => {}
+        }
+    }
+
+    fn registered(
+        &mut self,
+        id: &GroupId,
+        worker: types::WorkerId,
+        origin: crate::origin::Origin,
+        reply: Reply,
+    ) {
+        if let Reply::Refused(refusal) = reply {
+            self.answer(origin, Err(refusal));
+            return;
+        }
+        let (now, lease) = (self.now, self.cfg.worker_lease);
+        if let Some(leader) = self.leader_mut(id) {
+            leader.hear(&worker, now);
+        }
+        self.answer(origin, Ok(crate::call::Answer::Registered(lease)));
+    }
+
+    pub(crate) fn leader_mut(&mut self, id: &GroupId) -> Option<&mut ZoneLeader> {
+        self.groups.get_mut(id)?.leader.as_deref_mut()
+    }
+
+    fn refresh_quotas(&mut self, id: &GroupId) {
+        let Some(group) = self.groups.get_mut(id) else { return };
+        if let (Some(leader), Machine::Zone(zone)) = (&mut group.leader, &group.machine) {
+            leader.planner.set_quotas(zone.quotas().values());
+        }
+    }
+
+    fn compact_if_due(&mut self, id: &GroupId) {
+        let every = self.cfg.entries_per_snapshot;
+        let group = self.groups.get_mut(id).expect("the caller has it");
+        let applied = group.raft.commit_index();
+        if applied < group.raft.snapshot_index() + every {
+            return;
+        }
+        let data = group.machine.encode();
+        group.raft.compact(applied, data);
+    }
+}
+
+fn into_values<K, V>(map: types::SortedMap<K, V>) -> Vec<V>
+where
+    K: Ord + Clone,
+{
+    let mut map = map;
+    let keys: Vec<K> = map.keys().cloned().collect();
+    keys.iter().filter_map(|key| map.remove(key)).collect()
+}
+
+fn class_name(class: types::JobClass) -> &'static str {
+    match class {
+        types::JobClass::Service => "service",
+        types::JobClass::Batch => "batch",
+        types::JobClass::AllAtOnce => "all-at-once",
+    }
+}
+
+impl Group {
+    /// Remembers who a member's messages come from.
+    pub(crate) fn note_sender(&mut self, member: MemberId, host: &HostId) {
+        if self.raft.config().get(member).is_none() {
+            self.correspondents.insert(member, host.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/duties.rs
@@ -0,0 +1,228 @@
+//! What the leader of a group does by itself: plan, adopt releases, notice lost workers, replace
+//! runs of changed services, repair the group.
+
+use crate::group::{Group, Machine, Then};
+use crate::home::part_of_zone;
+use crate::host::Host;
+use crate::message::GroupId;
+use consensus::Role;
+use placement::Plan;
+use state::{Placement, RecordPhase, StoredOutcome, ZoneCommand, ZoneState};
+use std::time::Duration;
+use types::{Fence, HostId, JobClass, JobId, Timestamp, ZoneName};
+
+/// Placements in one command.
+const PLACEMENTS_PER_PLAN: usize = 512;
+/// How often a leader looks at what nobody reports.
+const CHECK_EVERY: Duration = Duration::from_millis(500);
+/// How often what is old is forgotten.
+const TRIM_EVERY: Duration = Duration::from_secs(600);
+/// One in so many tasks of a service is replaced at a time.
+const REPLACED_ONE_IN: u32 = 10;
+/// Beyond the longest request, a record whose owner is silent has an unknown outcome.
+const RECORD_GRACE: Duration = Duration::from_secs(30);
+
+impl Host {
+    pub(crate) fn do_duties(&mut self, id: &GroupId) {
+        let now = self.now;
+        let Some(group) = self.groups.get(id) else { return };
+        if group.raft.is_settled_leader() {
+            self.repair(id);
+        }
+        if self.leader_mut(id).is_none() {
+            return;
+        }
+        self.adopt_release(id);
+        self.plan(id);
+        self.wake_parked(id, &[]);
+        if self.leader_mut(id).is_some_and(|leader| now >= leader.next_check) {
+            self.check(id);
+        }
+    }
+
+    fn plan(&mut self, id: &GroupId) {
+        let now = self.now;
+        let Some(leader) = self.leader_mut(id) else { return };
+        if leader.plan_in_flight.is_some() || !leader.planner.is_due(now) {
+            return;
+        }
+        let plan = leader.planner.plan(now, PLACEMENTS_PER_PLAN);
+        self.stats.preemptions += plan.stops.len() as u64;
+        self.stats.late_jobs += plan.late.len() as u64;
+        self.propose_plan(id, plan);
+    }
+
+    fn propose_plan(&mut self, id: &GroupId, plan: Plan) {
+        let now = self.now;
+        for job in plan.late {
+            self.propose(id, ZoneCommand::MarkLate { job }, Then::Nothing);
+        }
+        if !plan.stops.is_empty() {
+            self.propose(id, ZoneCommand::Stop { fences: plan.stops }, Then::Nothing);
+        }
+        if plan.placements.is_empty() {
+            return;
+        }
+        let placement = |planned: placement::Planned| Placement {
+            job: planned.job,
+            worker: planned.worker,
+            incarnation: planned.incarnation,
+        };
+        let placements = plan.placements.into_iter().map(placement).collect();
+        let command = ZoneCommand::Place { placements, at: now };
+        let Some(group) = self.groups.get_mut(id) else { return };
+        let index = group.propose_zone(now, &command, Then::Planned).ok();
+        if let Some(leader) = &mut group.leader {
+            leader.plan_in_flight = index;
+        }
+    }
+
+    /// Brings the zone in line with the release in force.
+    fn adopt_release(&mut self, id: &GroupId) {
+        let now = self.now;
+        let GroupId::Zone(zone) = id else { return };
+        let Some(group) = self.groups.get_mut(id) else { return };
+        let (Some(leader), Machine::Zone(state)) = (&mut group.leader, &group.machine) else {
+            return;
+        };
+        let release = self.release.current();
+        if leader.adoption_in_flight.is_some() || release.version <= state.release() {
+            return;
+        }
+        let command = adoption(state, release, zone, &self.zones, now);
+        let index = group.propose_zone(now, &command, Then::Adopted).ok();
+        if let Some(leader) = &mut group.leader {
+            leader.adoption_in_flight = index;
+        }
+    }
+
+    /// What nobody reports: silence, ended quarantines, old runs, old records.
+    fn check(&mut self, id: &GroupId) {
+        let now = self.now;
+        let cfg = self.cfg.clone();
+        let Some(group) = self.groups.get_mut(id) else { return };
+        let (Some(leader), Machine::Zone(state)) = (&mut group.leader, &group.machine) else {
+            return;
+        };
+        leader.next_check = now + CHECK_EVERY;
+        leader.refresh_workers(state, now);
+        leader.ledger.sweep(now);
+        let silent = leader.silent_workers(state, &cfg, now);
+        let mut commands: Vec<ZoneCommand> = Vec::new();
+        for (worker, incarnation) in silent {
+            leader.condemn(&worker, incarnation);
+            self.stats.workers_lost += 1;
+            commands.push(ZoneCommand::WorkerLost { worker, incarnation, at: now });
+        }
+        commands.extend(replacements(state));
+        commands.extend(abandoned_records(state, now, cfg.max_timeout + RECORD_GRACE));
+        if now >= leader.next_trim {
+            leader.next_trim = now + TRIM_EVERY;
+            commands.push(ZoneCommand::Trim { before: now.saturating_sub(cfg.keep_ended) });
+        }
+        for command in commands {
+            self.propose(id, command, Then::Nothing);
+        }
+    }
+
+    /// Brings a new data folder in and its host's old one out, one change at a time.
+    fn repair(&mut self, id: &GroupId) {
+        let now = self.now;
+        let intended: Vec<(HostId, Role)> = match self.cfg.groups.get(id) {
+            Some(members) => members.iter().map(|m| (m.host.clone(), m.role)).collect(),
+            None => return,
+        };
+        let (Some(group), Some(newcomers)) = (self.groups.get_mut(id), self.newcomers.get(id))
+        else {
+            return;
+        };
+        let raft = &mut group.raft;
+        let change = newcomers.next_change(
+            raft.config(),
+            &intended,
+            raft.last_index(),
+            |member| raft.matched(member),
+            now,
+        );
+        if let Some(config) = change {
+            // While another change is under way this is refused, and tried again.
+            let _ = raft.propose_config(now, config);
+        }
+    }
+}
+
+/// The changes that bring a zone from the release it has to `release`.
+fn adoption(
+    state: &ZoneState,
+    release: &types::Release,
+    zone: &ZoneName,
+    zones: &[ZoneName],
+    now: Timestamp,
+) -> ZoneCommand {
+    let mut jobs = Vec::new();
+    let mut kept: Vec<JobId> = Vec::new();
+    for declared in release.jobs.values() {
+        let Some(part) = part_of_zone(declared, zone, zones) else { continue };
+        match state.find_job(&part.spec.key()) {
+            Some((id, job)) if job.added == Some(part.added) => {
+                kept.push(id);
+                if job.spec != part.spec {
+                    jobs.push(part);
+                }
+            }
+            _ => jobs.push(part),
+        }
+    }
+    kept.sort_unstable();
+    let declared = state.jobs().iter().filter(|(_, job)| job.added.is_some());
+    let withdrawn = declared.map(|(id, _)| *id).filter(|id| kept.binary_search(id).is_err());
+    let quotas: Vec<_> = release.quotas.values().cloned().collect();
+    let same_quotas = state.quotas().values().eq(quotas.iter());
+    ZoneCommand::Adopt {
+        base: state.release(),
+        version: release.version,
+        jobs,
+        withdrawn: withdrawn.collect(),
+        quotas: (!same_quotas).then_some(quotas),
+        at: now,
+    }
+}
+
+/// Stops some runs of services whose spec has changed, as long as all others run.
+fn replacements(state: &ZoneState) -> Option<ZoneCommand> {
+    let mut fences: Vec<Fence> = Vec::new();
+    for job in state.jobs().values() {
+        let changed = job.generation > 0 && job.spec.class == JobClass::Service && !job.is_over();
+        if !changed || job.waiting() > 0 {
+            continue;
+        }
+        let run = |fence: &Fence| state.runs().get(fence);
+        if job.runs.iter().filter_map(run).any(|run| run.stopping) {
+            continue;
+        }
+        let old = |fence: &&Fence| run(fence).is_some_and(|r| r.generation < job.generation);
+        let at_a_time = (job.spec.tasks / REPLACED_ONE_IN).max(1) as usize;
+        fences.extend(job.runs.iter().filter(old).take(at_a_time));
+    }
+    (!fences.is_empty()).then_some(ZoneCommand::Stop { fences })
+}
+
+/// Records whose owner can't finish them any more: the outcome is unknown for good.
+fn abandoned_records(state: &ZoneState, now: Timestamp, longest: Duration) -> Vec<ZoneCommand> {
+    let open = state.records().iter().filter(|(_, r)| r.phase == RecordPhase::Begun);
+    let old = open.filter(|(_, record)| now > record.at + longest);
+    old.map(|(key, record)| ZoneCommand::RecordFinish {
+        key: key.clone(),
+        owner: record.owner.clone(),
+        outcome: Some(StoredOutcome::Unknown),
+        at: now,
+    })
+    .collect()
+}
+
+impl Group {
+    /// Answers a folder that knows nothing of the group; see [`crate::forming`].
+    pub(crate) fn knows_member(&self, member: types::MemberId) -> bool {
+        self.raft.config().get(member).is_some()
+    }
+}
--- /dev/null
+++ b/crates/host/src/gossip.rs
@@ -0,0 +1,250 @@
+//! What entry hosts tell each other unasked: how they stand, upstreams, shares, blank folders.
+
+use crate::call::{Answer, GroupCall};
+use crate::forming::ANNOUNCE_EVERY;
+use crate::host::Host;
+use crate::message::{Beat, GroupId, PeerMessage};
+use crate::origin::Origin;
+use consensus::Config;
+use membership::{Announcement, Record, Status};
+use routing::{base_share, UpstreamInfo};
+use std::time::Duration;
+use types::{HostId, MemberId, Refusal, Timestamp};
+
+/// How often shares of upstreams are renewed.
+const SHARES_EVERY: Duration = Duration::from_millis(1_000);
+/// How soon they are asked for when requests wait.
+const SHARES_IN_A_HURRY: Duration = Duration::from_millis(50);
+/// Least time between two pulls of what was missed.
+const PULL_EVERY: Duration = Duration::from_millis(500);
+
+impl Host {
+    pub(crate) fn on_peer(&mut self, from: HostId, message: PeerMessage) {
+        if !self.peers.is_known(&from) {
+            return;
+        }
+        self.peers.hear(&from, self.now);
+        let now = self.now;
+        match message {
+            PeerMessage::Raft(id, envelope) => {
+                if let Some(group) = self.groups.get_mut(&id) {
+                    group.note_sender(envelope.from, &from);
+                    group.raft.step(now, envelope);
+                }
+            }
+            PeerMessage::Beat(beat) => self.on_beat(&from, beat),
+            PeerMessage::Upstreams(records) => {
+                let news = self.table.merge(now, records);
+                self.follow_upstreams(&news);
+            }
+            PeerMessage::Renewals(renewals) => self.table.merge_renewals(now, &renewals),
+            PeerMessage::PullUpstreams => {
+                let records = PeerMessage::Upstreams(self.table.records());
+                self.send(&from, records);
+            }
+            PeerMessage::PullRelease(have) => {
+                if let Some(update) = self.release.update_for(have) {
+                    self.send(&from, update);
+                }
+            }
+            PeerMessage::Notes(notes) => {
+                if self.release.apply_notes(notes) {
+                    self.release_changed();
+                }
+            }
+            PeerMessage::Release(release) => {
+                if self.release.set(&release) {
+                    self.release_changed();
+                }
+            }
+            PeerMessage::Blank(id, member) => self.on_blank(&from, &id, member),
+            PeerMessage::Form(id, config) => {
+                if self.forming.contains_key(&id) && config.get(self.member).is_some() {
+                    self.form(&id, config);
+                }
+            }
+            PeerMessage::Join(id) => {
+                if self.forming.contains_key(&id) {
+                    self.form(&id, Config::default());
+                }
+            }
+            PeerMessage::Call { id, hops, call } => self.on_peer_call(from, id, hops, *call),
+            PeerMessage::CallAnswer { id, answer } => self.on_call_answer(id, *answer),
+        }
+    }
+
+    fn on_beat(&mut self, from: &HostId, beat: Beat) {
+        self.peers.hear_beat(from, &beat);
+        if beat.upstreams != self.table.digest() && self.now >= self.next_pull {
+            self.next_pull = self.now + PULL_EVERY;
+            self.send(from, PeerMessage::PullUpstreams);
+        }
+        if beat.release > self.release.current().version {
+            self.pull_release_if_behind();
+        }
+    }
+
+    pub(crate) fn pull_release_if_behind(&mut self) {
+        let ours = self.release.current().version;
+        if let Some(host) = self.peers.with_newer_release(ours, self.now) {
+            self.send(&host, PeerMessage::PullRelease(ours));
+        }
+    }
+
+    pub(crate) fn send_beat_if_due(&mut self) {
+        if !std::mem::take(&mut self.beat_due) {
+            return;
+        }
+        let led = self.groups.iter().filter(|(_, group)| group.raft.is_settled_leader());
+        let leads = led.map(|(id, group)| (id.clone(), group.raft.term())).collect();
+        let beat = Beat {
+            process: self.process,
+            release: self.release.current().version,
+            leads,
+            draining: self.draining,
+            upstreams: self.table.digest(),
+        };
+        self.send_all(&PeerMessage::Beat(beat));
+    }
+
+    /// Sends on what changed here, and routes by it.
+    pub(crate) fn spread_changes(&mut self) {
+        let changes = self.table.take_changes();
+        if changes.is_empty() {
+            return;
+        }
+        self.follow_upstreams(&changes);
+        self.send_all(&PeerMessage::Upstreams(changes));
+    }
+
+    pub(crate) fn spread_renewals(&mut self) {
+        let renewals = self.table.take_renewals();
+        if renewals.is_empty() {
+            return;
+        }
+        let zone = self.cfg.zone.clone();
+        let own: Vec<HostId> = self
+            .peers
+            .iter()
+            .filter(|(_, known)| known.zone == zone)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in own {
+            self.send(&host, PeerMessage::Renewals(renewals.clone()));
+        }
+    }
+
+    fn follow_upstreams(&mut self, records: &[Record]) {
+        for record in records {
+            if record.status == Status::Serving {
+                let info = self.upstream_info(&record.announcement);
+                let actions = self.router.set_upstream(self.now, info);
+                self.act(actions);
+            } else {
+                self.router.remove_upstream(&record.announcement.upstream);
+            }
+        }
+        self.hurry_shares();
+    }
+
+    fn upstream_info(&self, announcement: &Announcement) -> UpstreamInfo {
+        let own = announcement.zone == self.cfg.zone;
+        let hosts = self.cfg.hosts_in(&announcement.zone);
+        UpstreamInfo {
+            id: announcement.upstream.clone(),
+            service: announcement.service.clone(),
+            zone: announcement.zone.clone(),
+            slots: announcement.slots,
+            incarnation: announcement.incarnation,
+            base_share: if own { base_share(announcement.slots, hosts) } else { 0 },
+        }
+    }
+
+    pub(crate) fn hurry_shares(&mut self) {
+        self.next_shares = self.next_shares.min(self.now + SHARES_IN_A_HURRY);
+    }
+
+    /// Asks each zone's leader for shares of its upstreams.
+    pub(crate) fn renew_shares_if_due(&mut self) {
+        let now = self.now;
+        if now < self.next_shares {
+            return;
+        }
+        self.next_shares = now + SHARES_EVERY;
+        for zone in self.zones.clone() {
+            let hosts = self.cfg.hosts_in(&zone);
+            let pool = |info: &UpstreamInfo| {
+                info.slots.saturating_sub(base_share(info.slots, hosts) * hosts)
+            };
+            let mut asks = self.router.asks(now, &zone, pool);
+            if zone != self.cfg.zone {
+                // Other zones' upstreams are for when the own ones are not enough.
+                asks.retain(|ask| ask.want > 0 || ask.held > 0);
+            }
+            if asks.is_empty() {
+                continue;
+            }
+            let (host, from) = (self.cfg.host.clone(), self.cfg.zone.clone());
+            let number = self.share_calls.get(&zone).map_or(1, |n| n + 1);
+            self.share_calls.insert(zone.clone(), number);
+            let origin = Origin::Shares(zone.clone(), number, now);
+            self.call_group(GroupCall::Shares { zone, host, from, asks }, origin, 2, now);
+        }
+    }
+
+    /// Only the answer to the latest request counts: what was reported as held when it was sent
+    /// is all that this host could use until now.
+    pub(crate) fn on_shares(
+        &mut self,
+        zone: &str,
+        number: u64,
+        sent: Timestamp,
+        answer: Result<Answer, Refusal>,
+    ) {
+        let latest = self.share_calls.get(zone) == Some(&number);
+        if let (true, Ok(Answer::Grants(grants))) = (latest, answer) {
+            let until = sent + self.cfg.share_lease;
+            let actions = self.router.set_grants(self.now, &grants, until);
+            self.act(actions);
+        }
+    }
+
+    /// Says which folders here are blank, and forms a group when all its members' are.
+    pub(crate) fn announce_blank_folders(&mut self) {
+        let now = self.now;
+        let ids: Vec<GroupId> = self.forming.keys().cloned().collect();
+        for id in ids {
+            let forming = self.forming.get_mut(&id).expect("taken from the keys");
+            if let Some(config) = forming.complete(&self.cfg.host, self.member, now) {
+                let others = forming.others(&self.cfg.host);
+                self.form(&id, config.clone());
+                for host in others {
+                    self.send(&host, PeerMessage::Form(id.clone(), config.clone()));
+                }
+                continue;
+            }
+            if now < forming.next_announcement {
+                continue;
+            }
+            forming.next_announcement = now + ANNOUNCE_EVERY;
+            for host in forming.others(&self.cfg.host) {
+                self.send(&host, PeerMessage::Blank(id.clone(), self.member));
+            }
+        }
+    }
+
+    /// Another host's folder knows nothing of a group.
+    fn on_blank(&mut self, from: &HostId, id: &GroupId, member: MemberId) {
+        let now = self.now;
+        if let Some(forming) = self.forming.get_mut(id) {
+            forming.hear_blank(from, member, now);
+            return;
+        }
+        let Some(group) = self.groups.get(id) else { return };
+        if group.knows_member(member) {
+            self.send(from, PeerMessage::Join(id.clone()));
+        } else if let Some(newcomers) = self.newcomers.get_mut(id) {
+            newcomers.hear(from, member, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/host.rs
@@ -0,0 +1,395 @@
+//! One entry host without I/O.
+
+use crate::call::{
+    Answer, GroupStatus, HostStats, HostStatus, MemberStatus, PeerStatus, UpstreamLine,
+};
+use crate::calls::{Gather, HandedOn, Retry};
+use crate::config::{HostConfig, Start, Weakening};
+use crate::forming::Forming;
+use crate::group::Group;
+use crate::io::{Input, Output};
+use crate::message::{GroupId, PeerMessage};
+use crate::origin::Origin;
+use crate::peers::Peers;
+use crate::proxy::{Finishing, Keyed};
+use crate::release::ReleaseStore;
+use crate::repair::Newcomers;
+use consensus::{Config, Raft, Restored};
+use membership::Table;
+use routing::{Router, RouterBuilder};
+use std::time::Duration;
+use types::{ExchangeId, HostId, MemberId, Refusal, SortedMap, Timestamp, ZoneName};
+
+/// A host that was not stepped for this long was paused.
+const PAUSE: Duration = Duration::from_secs(2);
+/// How often a host says how it stands, and looks after what has no time of its own.
+const REGULARLY: Duration = Duration::from_secs(1);
+/// Rounds of commands that follow from commands in one step; the rest waits for the next.
+const MAX_ROUNDS: usize = 64;
+
+/// One entry host: everything it knows and decides. See the crate page.
+#[derive(Debug)]
+pub struct Host {
+    pub(crate) cfg: HostConfig,
+    pub(crate) member: MemberId,
+    pub(crate) process: MemberId,
+    pub(crate) now: Timestamp,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) zones: Vec<ZoneName>,
+    pub(crate) groups: SortedMap<GroupId, Group>,
+    pub(crate) forming: SortedMap<GroupId, Forming>,
+    pub(crate) newcomers: SortedMap<GroupId, Newcomers>,
+    pub(crate) peers: Peers,
+    pub(crate) table: Table,
+    pub(crate) router: Router,
+    pub(crate) release: ReleaseStore,
+    pub(crate) handed_on: SortedMap<u64, HandedOn>,
+    pub(crate) last_call: u64,
+    pub(crate) retries: Vec<Retry>,
+    pub(crate) gathers: SortedMap<ExchangeId, Gather>,
+    pub(crate) keyed: SortedMap<ExchangeId, Keyed>,
+    pub(crate) finishing: SortedMap<ExchangeId, Finishing>,
+    pub(crate) share_calls: SortedMap<ZoneName, u64>,
+    pub(crate) next_shares: Timestamp,
+    pub(crate) next_regular: Timestamp,
+    pub(crate) next_pull: Timestamp,
+    pub(crate) beat_due: bool,
+    pub(crate) draining: bool,
+    pub(crate) out: Vec<Output>,
+    pub(crate) stats: HostStats,
+}
+
+impl Host {
+    /// A host with what its data folder has.
+    pub fn new(cfg: HostConfig, start: Start) -> Host {
+        let routing_weakening = match cfg.weakening {
+            Weakening::Routing(weakening) => weakening,
+            _ => Default::default(),
+        };
+        let mut rng = fastrand::Rng::with_seed(start.seed);
+        let router = RouterBuilder::new(&cfg.zone, rng.u64(..))
+            .max_waiting(cfg.max_waiting)
+            .weaken(routing_weakening)
+            .build();
+        let mut table = Table::new(&cfg.zone, cfg.upstream_silence);
+        if cfg.weakened(Weakening::LateRenewalsWin) {
+            table.weaken();
+        }
+        let may_revert = cfg.weakened(Weakening::ReleaseMayRevert);
+        let mut host = Host {
+            member: start.member,
+            process: start.process,
+            now: start.now,
+            rng,
+            zones: cfg.zones(),
+            groups: SortedMap::default(),
+            forming: SortedMap::default(),
+            newcomers: SortedMap::default(),
+            peers: Peers::new(&cfg.peers),
+            table,
+            router,
+            release: ReleaseStore::new(start.release, may_revert),
+            handed_on: SortedMap::default(),
+            // Call numbers of an earlier process must not come again.
+            last_call: start.process >> 16,
+            retries: Vec::new(),
+            gathers: SortedMap::default(),
+            keyed: SortedMap::default(),
+            finishing: SortedMap::default(),
+            share_calls: SortedMap::default(),
+            next_shares: start.now,
+            next_regular: start.now,
+            next_pull: start.now,
+            beat_due: true,
+            draining: false,
+            out: Vec::new(),
+            stats: HostStats::default(),
+            cfg,
+        };
+        host.open_groups(start.groups);
+        host
+    }
+
+    fn open_groups(&mut self, mut found: SortedMap<GroupId, Restored>) {
+        let ids: Vec<GroupId> = self.cfg.groups.keys().cloned().collect();
+        for id in ids {
+            let members = self.cfg.groups.get(&id).expect("taken from the keys");
+            if let Some(restored) = found.remove(&id) {
+                self.open_group(&id, restored);
+            } else if members.iter().any(|m| m.host == self.cfg.host) {
+                self.forming.insert(id, Forming::new(members.clone(), self.now));
+            }
+        }
+    }
+
+    pub(crate) fn open_group(&mut self, id: &GroupId, restored: Restored) {
+        let seed = self.rng.u64(..);
+        let tuning = self.cfg.tuning.clone();
+        let raft = Raft::new(self.member, tuning, restored, self.now, seed);
+        let weakening = match self.cfg.weakening {
+            Weakening::State(weakening) => weakening,
+            _ => Default::default(),
+        };
+        self.groups.insert(id.clone(), Group::new(id.clone(), raft, weakening));
+        self.newcomers.insert(id.clone(), Newcomers::default());
+        self.forming.remove(id);
+    }
+
+    /// Forms a group whose members are known, or joins one with nothing known yet.
+    pub(crate) fn form(&mut self, id: &GroupId, config: Config) {
+        self.out.push(Output::Form(id.clone(), config.clone()));
+        self.open_group(id, Restored::formed(config));
+    }
+
+    /// Hears one thing and says what is to be done.
+    pub fn step(&mut self, now: Timestamp, input: Input) -> Vec<Output> {
+        self.handle(now, input);
+        self.finish(now)
+    }
+
+    /// Hears one thing. What is to be done is said by the next [`Host::finish`], so that many
+    /// inputs can share one write to the disk.
+    pub fn handle(&mut self, now: Timestamp, input: Input) {
+        self.advance(now);
+        match input {
+            Input::Tick => {}
+            Input::Call(exchange, call) => self.on_call(exchange, call),
+            Input::Request(exchange, request) => self.on_request(exchange, request),
+            Input::AttemptEnded { exchange, attempt, result, answer } => {
+                self.on_attempt_ended(exchange, attempt, result, answer)
+            }
+            Input::Abandoned(exchange) => self.on_abandoned(exchange),
+            Input::Peer(from, message) => self.on_peer(from, message),
+            Input::Drain => {
+                self.draining = true;
+                self.beat_due = true;
+            }
+        }
+    }
+
+    /// Does what is due and says what is to be done, durable things first.
+    pub fn finish(&mut self, now: Timestamp) -> Vec<Output> {
+        self.advance(now);
+        self.run_timers();
+        for _ in 0..MAX_ROUNDS {
+            if !self.drive_groups() {
+                break;
+            }
+        }
+        self.send_beat_if_due();
+        let mut out = std::mem::take(&mut self.out);
+        out.sort_by_key(|output| !output.is_durable());
+        out
+    }
+
+    /// Notes the time. After a pause, silence proves nothing about others.
+    fn advance(&mut self, now: Timestamp) {
+        let gap = now.saturating_sub(self.now);
+        self.now = self.now.max(now);
+        if gap < PAUSE {
+            return;
+        }
+        self.table.forgive_silence(self.now);
+        for group in self.groups.values_mut() {
+            // Steps down where another may lead by now.
+            group.raft.tick(now);
+            if let Some(leader) = &mut group.leader {
+                leader.forgive_silence(now);
+            }
+        }
+    }
+
+    fn run_timers(&mut self) {
+        let now = self.now;
+        for group in self.groups.values_mut() {
+            if now >= group.raft.next_wakeup() {
+                group.raft.tick(now);
+            }
+        }
+        self.announce_blank_folders();
+        self.expire_calls();
+        self.retry_calls();
+        self.poll_records();
+        self.retry_finishing();
+        let actions = self.router.tick(now);
+        self.act(actions);
+        if now >= self.next_regular {
+            self.next_regular = now + REGULARLY;
+            self.beat_due = true;
+            self.table.tick(now);
+            self.spread_renewals();
+            self.pull_release_if_behind();
+        }
+        self.spread_changes();
+        self.renew_shares_if_due();
+        self.hand_over_if_draining();
+    }
+
+    /// When [`Host::step`] is due at the latest.
+    pub fn next_wakeup(&self) -> Timestamp {
+        let mut next = self.next_regular.min(self.next_shares);
+        for group in self.groups.values() {
+            next = next.min(group.raft.next_wakeup());
+            if !group.raft.is_idle() {
+                return self.now;
+            }
+            if let Some(leader) = &group.leader {
+                next = next.min(leader.next_check);
+                let parked = leader.parked.values().map(|parked| parked.until);
+                next = parked.fold(next, Timestamp::min);
+            }
+        }
+        let retries = self.retries.iter().map(|retry| retry.at);
+        let forming = self.forming.values().map(|forming| forming.next_announcement);
+        let polls = self.keyed.values().filter_map(|keyed| keyed.next_poll());
+        let all = retries.chain(forming).chain(polls).chain(self.router.next_wakeup());
+        all.fold(next, Timestamp::min)
+    }
+
+    fn hand_over_if_draining(&mut self) {
+        if !self.draining {
+            return;
+        }
+        for group in self.groups.values_mut() {
+            if let Some(successor) = group.raft.successor() {
+                group.raft.hand_over(self.now, successor);
+            }
+        }
+    }
+
+    /// Whether a planned stop may end: nothing is open and leadership is handed over, where there
+    /// is somebody to take it.
+    pub fn is_drained(&self) -> bool {
+        let leads = |group: &Group| group.raft.is_leader() && group.raft.successor().is_some();
+        let open = self.router.open_requests() + self.keyed.len() + self.finishing.len();
+        self.draining && open == 0 && !self.groups.values().any(leads)
+    }
+
+    /// Why the balancer should not send requests, or `None` when it should.
+    pub fn not_ready(&self) -> Option<String> {
+        if self.draining {
+            return Some("this host is being stopped".to_string());
+        }
+        if self.release.current().version == 0 {
+            return Some("no release is in force here yet".to_string());
+        }
+        None
+    }
+
+    pub(crate) fn answer(&mut self, origin: Origin, answer: Result<Answer, Refusal>) {
+        match origin {
+            Origin::Exchange(exchange) => self.out.push(Output::Answer(exchange, answer)),
+            Origin::Peer(host, id) => {
+                let message = PeerMessage::CallAnswer { id, answer: Box::new(answer) };
+                self.out.push(Output::Send(host, message));
+            }
+            Origin::Gather(exchange, zone) => self.gather(exchange, zone, answer),
+            Origin::Begin(exchange) => self.on_record_begun(exchange, answer),
+            Origin::Finish(exchange) => self.on_record_finished(exchange, answer),
+            Origin::Shares(zone, number, sent) => self.on_shares(&zone, number, sent, answer),
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: &HostId, message: PeerMessage) {
+        self.out.push(Output::Send(to.clone(), message));
+    }
+
+    pub(crate) fn send_all(&mut self, message: &PeerMessage) {
+        for host in self.peers.names() {
+            self.send(&host, message.clone());
+        }
+    }
+
+    /// The replicated state of a zone, where this host is a member of its group.
+    pub fn zone_state(&self, zone: &str) -> Option<&state::ZoneState> {
+        self.groups.get(&GroupId::Zone(zone.to_string()))?.zone()
+    }
+
+    /// The release in force here.
+    pub fn release(&self) -> &types::Release {
+        self.release.current()
+    }
+
+    /// Upstreams that get work from here.
+    pub fn serving_upstreams(&self) -> Vec<types::UpstreamId> {
+        self.router.upstreams().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether this host leads the group and may answer for it.
+    pub fn leads(&self, group: &GroupId) -> bool {
+        // Only what has been applied can be answered from.
+        let applied = |g: &Group| g.led == Some(g.raft.term());
+        self.groups.get(group).is_some_and(|g| g.raft.is_settled_leader() && applied(g))
+    }
+
+    /// How this host stands.
+    pub fn status(&self) -> HostStatus {
+        let not_ready = self.not_ready();
+        let peers = self.peers.iter().map(|(host, known)| PeerStatus {
+            host: host.clone(),
+            zone: known.zone.clone(),
+            silent_for: known.heard.map(|at| self.now.saturating_sub(at)),
+            release: known.release,
+            draining: known.draining,
+        });
+        HostStatus {
+            host: self.cfg.host.clone(),
+            zone: self.cfg.zone.clone(),
+            ready: not_ready.is_none(),
+            not_ready_because: not_ready.unwrap_or_default(),
+            release: self.release.current().version,
+            release_digest: self.release.current().digest.clone(),
+            groups: self.groups.values().map(group_status).collect(),
+            forming: self.forming.keys().map(|id| id.to_string()).collect(),
+            peers: peers.collect(),
+            upstreams: self.upstream_lines(),
+            open_requests: self.router.open_requests(),
+        }
+    }
+
+    fn upstream_lines(&self) -> Vec<UpstreamLine> {
+        self.router.upstream_stats(self.now).into_iter().map(UpstreamLine::from).collect()
+    }
+
+    /// Counts and gauges since the start; waiting times since the last reading.
+    pub fn take_stats(&mut self) -> HostStats {
+        let own = GroupId::Zone(self.cfg.zone.clone());
+        let leader = self.groups.get(&own).and_then(|group| group.leader.as_ref());
+        let mut stats = self.stats.clone();
+        self.stats.waits.clear();
+        stats.waiting_jobs = leader.map_or(0, |leader| leader.planner.waiting_jobs());
+        stats.services = self.router.service_stats();
+        stats.release = self.release.current().version;
+        stats.open_requests = self.router.open_requests();
+        stats.leads_zone = self.leads(&own);
+        stats.leads_cell = self.leads(&GroupId::Cell);
+        let services = self.release.current().services.values();
+        stats.objectives = services
+            .filter_map(|s| Some((s.name.clone(), s.objective.as_ref()?.answer_within)))
+            .collect();
+        stats.drained = self.is_drained();
+        stats.at = self.now;
+        stats
+    }
+}
+
+fn group_status(group: &Group) -> GroupStatus {
+    let raft = &group.raft;
+    let members = raft.config().members().iter().map(|member| MemberStatus {
+        host: member.host.clone(),
+        role: format!("{:?}", member.role),
+        matched: if member.id == raft.id() {
+            Some(raft.last_index())
+        } else {
+            raft.matched(member.id)
+        },
+    });
+    GroupStatus {
+        group: group.id.to_string(),
+        term: raft.term(),
+        leader: raft.leader_host().cloned(),
+        members: members.collect(),
+        commit: raft.commit_index(),
+        snapshot: raft.snapshot_index(),
+    }
+}
--- /dev/null
+++ b/crates/host/src/leader.rs
@@ -0,0 +1,332 @@
+//! What only the leader of a zone's group keeps: leases, the planner, shares.
+
+use crate::call::{Heartbeat, Orders, RunUsage, StartRun};
+use crate::config::{HostConfig, Weakening};
+use crate::home::task_index;
+use crate::origin::Origin;
+use crate::pressure;
+use consensus::Index;
+use placement::{JobView, Planner, RunView, WorkerView};
+use routing::ShareLedger;
+use state::{Effects, Job, Run, Worker, ZoneState};
+use std::time::Duration;
+use types::{Fence, Incarnation, JobClass, JobId, SortedMap, Timestamp, WorkerId, ZoneName};
+
+/// Part of a lease by which two clocks may drift apart while it runs.
+const DRIFT_ONE_IN: u32 = 50;
+/// Time allowed on top for a worker to stop what it runs.
+const STOP_ALLOWANCE: Duration = Duration::from_millis(500);
+/// Usage older than this is not acted on.
+const FRESH_USAGE: Duration = Duration::from_secs(30);
+
+/// A worker's heartbeat that is held back while there is nothing to say.
+#[derive(Debug)]
+pub(crate) struct Parked {
+    pub(crate) heartbeat: Box<Heartbeat>,
+    pub(crate) origin: Origin,
+    pub(crate) until: Timestamp,
+}
+
+/// What a worker last said of its runs' usage.
+#[derive(Debug)]
+struct Usage {
+    measured: Timestamp,
+    runs: Vec<RunUsage>,
+}
+
+/// What only the leader of a zone's group keeps.
+#[derive(Debug)]
+pub(crate) struct ZoneLeader {
+    pub(crate) planner: Planner,
+    pub(crate) ledger: ShareLedger,
+    pub(crate) parked: SortedMap<WorkerId, Parked>,
+    pub(crate) plan_in_flight: Option<Index>,
+    pub(crate) adoption_in_flight: Option<Index>,
+    pub(crate) next_check: Timestamp,
+    pub(crate) next_trim: Timestamp,
+    /// When each worker was last heard here; before that, when this host took over.
+    heard: SortedMap<WorkerId, Timestamp>,
+    took_over: Timestamp,
+    /// Lives whose loss was proposed. They get no lease any more, though the loss has not taken
+    /// effect yet.
+    condemned: SortedMap<WorkerId, Incarnation>,
+    usage: SortedMap<WorkerId, Usage>,
+    zones: Vec<ZoneName>,
+    zone: ZoneName,
+}
+
+impl ZoneLeader {
+    pub(crate) fn new(
+        now: Timestamp,
+        cfg: &HostConfig,
+        seed: u64,
+        name: &ZoneName,
+        zone: &ZoneState,
+    ) -> ZoneLeader {
+        let early = if cfg.weakened(Weakening::GrantSharesAtOnce) {
+            now.saturating_sub(cfg.share_lease)
+        } else {
+            now
+        };
+        let mut leader = ZoneLeader {
+            planner: Planner::new(cfg.policy.clone(), seed),
+            ledger: ShareLedger::new(early, cfg.share_lease),
+            parked: SortedMap::default(),
+            plan_in_flight: None,
+            adoption_in_flight: None,
+            next_check: now,
+            next_trim: now,
+            heard: SortedMap::default(),
+            took_over: now,
+            condemned: SortedMap::default(),
+            usage: SortedMap::default(),
+            zones: cfg.zones(),
+            zone: name.clone(),
+        };
+        if cfg.weakened(Weakening::TrustNoWorker) {
+            leader.took_over = Timestamp::ZERO;
+        }
+        leader.mirror(zone, now);
+        leader
+    }
+
+    /// What is held back, when leadership is over.
+    pub(crate) fn into_parked(mut self: Box<Self>) -> Vec<Parked> {
+        let workers: Vec<WorkerId> = self.parked.keys().cloned().collect();
+        workers.iter().filter_map(|worker| self.parked.remove(worker)).collect()
+    }
+
+    /// Tells the planner everything.
+    fn mirror(&mut self, zone: &ZoneState, now: Timestamp) {
+        self.planner.set_quotas(zone.quotas().values());
+        for (id, worker) in zone.workers().iter() {
+            self.planner.upsert_worker(worker_view(id, worker, now));
+        }
+        for (fence, run) in zone.runs().iter() {
+            self.mirror_run(zone, *fence, run);
+        }
+        for id in zone.jobs().keys() {
+            self.mirror_job(zone, *id);
+        }
+    }
+
+    /// Tells the planner what a command changed.
+    pub(crate) fn follow(&mut self, zone: &ZoneState, effects: &Effects, now: Timestamp) {
+        for ended in &effects.ended {
+            self.planner.remove_run(ended.fence);
+            self.learn(zone, ended);
+        }
+        for id in &effects.workers {
+            match zone.workers().get(id) {
+                Some(worker) => self.planner.upsert_worker(worker_view(id, worker, now)),
+                None => self.planner.remove_worker(id),
+            }
+        }
+        for fence in effects.placed.iter().chain(&effects.stopped) {
+            if let Some(run) = zone.runs().get(fence) {
+                self.mirror_run(zone, *fence, run);
+            }
+        }
+        for id in &effects.jobs {
+            self.mirror_job(zone, *id);
+        }
+    }
+
+    fn learn(&mut self, zone: &ZoneState, ended: &state::EndedRun) {
+        let Some(took) = ended.took else { return };
+        let Some(job) = zone.jobs().get(&ended.job) else { return };
+        if let Some(declared) = job.spec.run_time {
+            self.planner.learn(&job.spec.team, &job.spec.name, declared, took);
+        }
+    }
+
+    fn mirror_job(&mut self, zone: &ZoneState, id: JobId) {
+        match zone.jobs().get(&id) {
+            // The tasks of an all-at-once job start only when none of them runs.
+            Some(job) if is_startable(zone, job) => self.planner.upsert_job(job_view(id, job)),
+            _ => self.planner.remove_job(id),
+        }
+    }
+
+    fn mirror_run(&mut self, zone: &ZoneState, fence: Fence, run: &Run) {
+        let Some(job) = zone.jobs().get(&run.job) else { return };
+        let expected = match job.spec.class {
+            JobClass::Service => None,
+            _ => Some(self.planner.predict(&job_view(run.job, job))),
+        };
+        let plain_batch = job.spec.class == JobClass::Batch && !job.spec.urgent;
+        self.planner.upsert_run(RunView {
+            fence,
+            job: run.job,
+            team: job.spec.team.clone(),
+            worker: run.worker.clone(),
+            resources: run.resources,
+            placed: run.placed,
+            expected,
+            preemptible: plain_batch && !job.spec.unrepeatable,
+            stopping: run.stopping,
+        });
+    }
+
+    /// Sets the room of workers whose quarantine ended.
+    pub(crate) fn refresh_workers(&mut self, zone: &ZoneState, now: Timestamp) {
+        let quarantined = zone.workers().iter().filter(|(_, w)| !w.quarantined_until.is_zero());
+        for (id, worker) in quarantined {
+            self.planner.upsert_worker(worker_view(id, worker, now));
+        }
+    }
+
+    /// A worker gave a sign of life that may give it a lease until `now` and a lease later.
+    pub(crate) fn hear(&mut self, worker: &WorkerId, now: Timestamp) {
+        self.heard.insert(worker.clone(), now);
+    }
+
+    /// After a pause: what was not heard may have been said.
+    pub(crate) fn forgive_silence(&mut self, now: Timestamp) {
+        self.took_over = now;
+        for heard in self.heard.values_mut() {
+            *heard = now;
+        }
+    }
+
+    /// Workers that have been silent for longer than any lease can last.
+    pub(crate) fn silent_workers(
+        &self,
+        zone: &ZoneState,
+        cfg: &HostConfig,
+        now: Timestamp,
+    ) -> Vec<(WorkerId, Incarnation)> {
+        let lease = cfg.worker_lease;
+        let wait = if cfg.weakened(Weakening::LoseWorkersEarly) {
+            lease / 4
+        } else {
+            lease + lease / DRIFT_ONE_IN + STOP_ALLOWANCE
+        };
+        let present = zone.workers().iter().filter(|(_, worker)| worker.lost_at.is_none());
+        let is_silent = |id: &WorkerId| {
+            let heard = self.heard.get(id).copied().unwrap_or(Timestamp::ZERO);
+            now.saturating_sub(heard.max(self.took_over)) > wait
+        };
+        let silent = present.filter(|(id, _)| is_silent(id));
+        silent.map(|(id, worker)| (id.clone(), worker.incarnation)).collect()
+    }
+
+    /// Notes what a worker says of its runs' usage.
+    pub(crate) fn note_usage(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
+        if heartbeat.usage.is_empty() {
+            return;
+        }
+        let measured = now.saturating_sub(heartbeat.usage_age);
+        let usage = Usage { measured, runs: heartbeat.usage.clone() };
+        self.usage.insert(heartbeat.worker.clone(), usage);
+    }
+
+    /// A worker's loss is proposed: this life gets no lease any more.
+    pub(crate) fn condemn(&mut self, worker: &WorkerId, incarnation: Incarnation) {
+        self.heard.remove(worker);
+        self.usage.remove(worker);
+        self.condemned.insert(worker.clone(), incarnation);
+    }
+
+    pub(crate) fn is_condemned(&self, worker: &WorkerId, incarnation: Incarnation) -> bool {
+        self.condemned.get(worker) == Some(&incarnation)
+    }
+
+    /// What a worker is to do now.
+    pub(crate) fn orders(
+        &self,
+        zone: &ZoneState,
+        heartbeat: &Heartbeat,
+        lease: Duration,
+        now: Timestamp,
+    ) -> Orders {
+        let mut orders = Orders { lease, ..Orders::default() };
+        orders.acknowledged = heartbeat.ended.iter().map(|end| end.fence).collect();
+        let Some(worker) = zone.workers().get(&heartbeat.worker) else { return orders };
+        for fence in &worker.runs {
+            let Some(run) = zone.runs().get(fence) else { continue };
+            let runs_there = heartbeat.running.contains(fence);
+            match (run.stopping, runs_there) {
+                (true, _) => orders.stop.push(*fence),
+                (false, false) => orders.start.extend(self.start_order(zone, *fence, run)),
+                (false, true) => {}
+            }
+        }
+        // Whatever else it runs was taken off it.
+        let strays = heartbeat.running.iter().filter(|fence| !zone.runs().contains_key(*fence));
+        orders.stop.extend(strays);
+        self.relieve(zone, worker, heartbeat, now, &mut orders);
+        orders
+    }
+
+    fn start_order(&self, zone: &ZoneState, fence: Fence, run: &Run) -> Option<StartRun> {
+        let job = zone.jobs().get(&run.job)?;
+        Some(StartRun {
+            fence,
+            job: job.spec.key(),
+            index: task_index(&job.spec, run.index, &self.zone, &self.zones),
+            command: job.spec.command.clone(),
+            resources: run.resources,
+        })
+    }
+
+    /// Slows down or stops what uses more than it declared, where the worker is short.
+    fn relieve(
+        &self,
+        zone: &ZoneState,
+        worker: &Worker,
+        heartbeat: &Heartbeat,
+        now: Timestamp,
+        orders: &mut Orders,
+    ) {
+        let Some(usage) = self.usage.get(&heartbeat.worker) else { return };
+        if now.saturating_sub(usage.measured) > FRESH_USAGE {
+            return;
+        }
+        let relief = pressure::relieve(&worker.capacity, &usage.runs, |fence| {
+            let run = zone.runs().get(&fence)?;
+            let job = zone.jobs().get(&run.job)?;
+            Some(pressure::Declared {
+                resources: run.resources,
+                placed: run.placed,
+                may_stop: job.spec.class == JobClass::Batch && !job.spec.unrepeatable,
+            })
+        });
+        orders.throttle = relief.throttle;
+        orders.stop.extend(relief.stop);
+    }
+}
+
+fn is_startable(zone: &ZoneState, job: &Job) -> bool {
+    let alone = job.spec.class != JobClass::AllAtOnce || job.runs.is_empty();
+    alone && job.waiting() > 0 && !zone.is_behind_earlier(job)
+}
+
+fn worker_view(id: &WorkerId, worker: &Worker, now: Timestamp) -> WorkerView {
+    let lost = worker.lost_at.is_some();
+    WorkerView {
+        id: id.clone(),
+        incarnation: worker.incarnation,
+        rack: worker.rack.clone(),
+        capacity: if lost { Default::default() } else { worker.capacity },
+        room: worker.room(now),
+    }
+}
+
+fn job_view(id: JobId, job: &Job) -> JobView {
+    JobView {
+        id,
+        team: job.spec.team.clone(),
+        name: job.spec.name.clone(),
+        class: job.spec.class,
+        urgent: job.spec.urgent,
+        unrepeatable: job.spec.unrepeatable,
+        waiting: job.waiting(),
+        resources: job.spec.resources,
+        run_time: job.spec.run_time,
+        submitted: job.submitted,
+        deadline: job.deadline(),
+        held_until: job.held_until,
+        late: job.late,
+    }
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,1 +1,61 @@
-//! x
+//! One entry host without I/O: everything that it decides.
+//!
+//! [`Host`] composes the replicated log, the state, placement, routing and membership. All that it
+//! hears is an [`Input`]; all that it wants done is an [`Output`]; [`Host::next_wakeup`] says when
+//! it must be stepped again. The daemon, the fuzzer and the experiments drive this same type.
+//!
+//! A driver keeps two rules. Outputs for which [`Output::is_durable`] holds are done and synced
+//! before any other output of the same step. A restart drops the value and builds another from
+//! what was synced.
+//!
+//! ```
+//! use host::{Call, GroupCall, GroupId, Host, HostConfigBuilder, InitialMember, Input, Start};
+//! use std::time::Duration;
+//!
+//! let me = || vec![InitialMember { host: "a-1".into(), role: consensus::Role::Voter }];
+//! let cfg = HostConfigBuilder::new("a-1", "zone-a")
+//!     .group(GroupId::Cell, me())
+//!     .group(GroupId::Zone("zone-a".into()), me())
+//!     .build();
+//! let mut host = Host::new(cfg, Start { member: 1, process: 1, ..Start::default() });
+//! for second in 1..10 {
+//!     host.step(Duration::from_secs(second), Input::Tick);
+//! }
+//! assert!(host.leads(&GroupId::Cell));
+//! ```
+
+mod call;
+mod calls;
+mod config;
+mod drive;
+mod duties;
+mod forming;
+mod gossip;
+mod group;
+mod heartbeat;
+mod home;
+#[allow(clippy::module_inception)]
+mod host;
+mod io;
+mod leader;
+mod message;
+mod origin;
+mod peers;
+mod pressure;
+mod proxy;
+mod release;
+mod repair;
+mod views;
+
+pub use call::{
+    Answer, Call, GroupCall, GroupStatus, Heartbeat, HostStats, HostStatus, JobInfo, MemberStatus,
+    Orders, PeerStatus, Preview, RunInfo, RunUsage, StartRun, UpstreamLine, WorkerInfo, ZoneAnswer,
+    ZoneCall,
+};
+pub use config::{HostConfig, HostConfigBuilder, InitialMember, Peer, Start, Weakening};
+pub use home::{home_of_job, home_of_key, part_of_zone};
+pub use host::Host;
+pub use io::{Input, Output, ServiceRequest};
+pub use message::{Beat, GroupId, PeerMessage, PROTOCOL_VERSION};
+pub use pressure::{relieve, Declared, Relief};
+pub use proxy::parse_class;
--- /dev/null
+++ b/crates/host/src/proxy.rs
@@ -0,0 +1,372 @@
+//! Callers' requests: routed at once, or with an idempotency key recorded first.
+
+use crate::call::{Answer, GroupCall};
+use crate::config::Weakening;
+use crate::host::Host;
+use crate::io::{Output, ServiceRequest};
+use crate::origin::Origin;
+use routing::{Action, AttemptResult, Class, Outcome, Request};
+use state::{Owner, RecordAnswer, StoredAnswer, StoredOutcome};
+use std::time::Duration;
+use types::{ExchangeId, Refusal, RefusalKind, Timestamp, UpstreamId};
+
+/// Time between looks at a record that somebody else has begun.
+const POLL_EVERY: Duration = Duration::from_millis(200);
+/// An outcome that could not be recorded is tried again for this long.
+const FINISH_FOR: Duration = Duration::from_secs(60);
+/// A key is at most this long, in bytes.
+const MAX_KEY_BYTES: usize = 200;
+
+/// A request with an idempotency key.
+#[derive(Debug)]
+pub(crate) struct Keyed {
+    key: String,
+    digest: String,
+    request: Request,
+    stage: Stage,
+    /// The answer of the attempt that ended last.
+    answer: Option<StoredAnswer>,
+}
+
+#[derive(Debug, PartialEq)]
+enum Stage {
+    /// Asking for the record.
+    Asking,
+    /// Asking again at this time. True when somebody else may have sent the request.
+    Waiting(Timestamp, bool),
+    /// The record is ours, and the request is with the router.
+    Routed,
+}
+
+impl Keyed {
+    pub(crate) fn next_poll(&self) -> Option<Timestamp> {
+        match self.stage {
+            Stage::Waiting(at, _) => Some(at.min(self.request.deadline)),
+            Stage::Asking => Some(self.request.deadline),
+            Stage::Routed => None,
+        }
+    }
+}
+
+/// An outcome on its way into its record.
+#[derive(Debug)]
+pub(crate) struct Finishing {
+    key: String,
+    outcome: Option<StoredOutcome>,
+    /// When to send it again, unless an answer is awaited.
+    again: Option<Timestamp>,
+    until: Timestamp,
+}
+
+impl Host {
+    pub(crate) fn on_request(&mut self, exchange: ExchangeId, request: ServiceRequest) {
+        let Some(service) = self.release.current().services.get(&request.service) else {
+            let version = self.release.current().version;
+            let message = format!("service `{}` is not in release {version}", request.service);
+            self.refuse(exchange, RefusalKind::NotFound, message);
+            return;
+        };
+        let timeout = request.timeout.map_or(service.timeout, |t| t.min(service.timeout));
+        let timeout = timeout.min(self.cfg.max_timeout);
+        let idempotent = (service.idempotent || request.is_safe) && request.key.is_none();
+        let routed = Request {
+            exchange,
+            service: request.service.clone(),
+            class: request.class,
+            idempotent,
+            deadline: self.now + timeout,
+        };
+        match request.key {
+            Some(key) if !self.cfg.weakened(Weakening::SkipRecords) => {
+                self.begin_keyed(exchange, key, request.digest, routed)
+            }
+            _ => self.route(routed),
+        }
+    }
+
+    fn refuse(&mut self, exchange: ExchangeId, kind: RefusalKind, message: String) {
+        let refusal = Refusal::new(kind, message);
+        self.out.push(Output::GiveUp { exchange, outcome: Outcome::NotRun, refusal });
+    }
+
+    fn begin_keyed(&mut self, exchange: ExchangeId, key: String, digest: String, request: Request) {
+        let printable = key.bytes().all(|b| b.is_ascii_graphic());
+        if key.is_empty() || key.len() > MAX_KEY_BYTES || !printable {
+            let message =
+                format!("idempotency key: must be 1 to {MAX_KEY_BYTES} printable characters");
+            self.refuse(exchange, RefusalKind::BadInput, message);
+            return;
+        }
+        let key = format!("{}/{key}", request.service);
+        let keyed = Keyed { key, digest, request, stage: Stage::Asking, answer: None };
+        self.keyed.insert(exchange, keyed);
+        self.ask_for_record(exchange);
+    }
+
+    fn owner(&self, exchange: ExchangeId) -> Owner {
+        Owner { host: self.cfg.host.clone(), process: self.process, exchange }
+    }
+
+    fn ask_for_record(&mut self, exchange: ExchangeId) {
+        let owner = self.owner(exchange);
+        let Some(keyed) = self.keyed.get_mut(&exchange) else { return };
+        keyed.stage = Stage::Asking;
+        let (key, digest) = (keyed.key.clone(), keyed.digest.clone());
+        let deadline = keyed.request.deadline;
+        let call = GroupCall::RecordBegin { key, digest, owner };
+        self.call_group(call, Origin::Begin(exchange), 2, deadline);
+    }
+
+    /// Whether a request with a key may be sent.
+    pub(crate) fn on_record_begun(
+        &mut self,
+        exchange: ExchangeId,
+        answer: Result<Answer, Refusal>,
+    ) {
+        let next = self.now + POLL_EVERY;
+        let Some(keyed) = self.keyed.get_mut(&exchange) else { return };
+        match answer {
+            Ok(Answer::Record(RecordAnswer::Yours)) => {
+                if self.now >= keyed.request.deadline {
+                    self.give_up_asking(exchange, false);
+                    return;
+                }
+                keyed.stage = Stage::Routed;
+                let request = keyed.request.clone();
+                self.route(request);
+            }
+            Ok(Answer::Record(RecordAnswer::Begun(..))) => {
+                keyed.stage = Stage::Waiting(next, true);
+            }
+            Ok(Answer::Record(RecordAnswer::Finished(outcome))) => {
+                self.keyed.remove(&exchange);
+                self.replay(exchange, outcome);
+            }
+            Err(refusal)
+                if matches!(refusal.kind, RefusalKind::Unavailable | RefusalKind::Unknown) =>
+            {
+                keyed.stage = Stage::Waiting(next, false);
+            }
+            Err(refusal) => {
+                self.keyed.remove(&exchange);
+                self.out.push(Output::GiveUp { exchange, outcome: Outcome::NotRun, refusal });
+            }
+            Ok(_) => keyed.stage = Stage::Waiting(next, false),
+        }
+    }
+
+    fn replay(&mut self, exchange: ExchangeId, outcome: StoredOutcome) {
+        let give_up = |outcome, kind, message: &str| Output::GiveUp {
+            exchange,
+            outcome,
+            refusal: Refusal::new(kind, message),
+        };
+        self.out.push(match outcome {
+            StoredOutcome::Answered(answer) => Output::Replay(exchange, answer),
+            StoredOutcome::Ran => give_up(
+                Outcome::Ran,
+                RefusalKind::TooLarge,
+                "the request ran before; its answer was too large to keep",
+            ),
+            StoredOutcome::Unknown => give_up(
+                Outcome::Unknown,
+                RefusalKind::Unknown,
+                "the request may have run before; it will not be sent again under this key",
+            ),
+        });
+    }
+
+    /// Asks again for records, and gives up where the deadline has passed.
+    pub(crate) fn poll_records(&mut self) {
+        let now = self.now;
+        let due = self.keyed.iter().filter(|(_, k)| k.next_poll().is_some_and(|at| at <= now));
+        let due: Vec<ExchangeId> = due.map(|(exchange, _)| *exchange).collect();
+        for exchange in due {
+            let keyed = self.keyed.get(&exchange).expect("taken from the requests");
+            let maybe_ran = matches!(keyed.stage, Stage::Waiting(_, true));
+            if now >= keyed.request.deadline {
+                self.give_up_asking(exchange, maybe_ran);
+            } else {
+                self.ask_for_record(exchange);
+            }
+        }
+    }
+
+    /// This exchange has sent nothing; another may have.
+    fn give_up_asking(&mut self, exchange: ExchangeId, maybe_ran: bool) {
+        let Some(keyed) = self.keyed.remove(&exchange) else { return };
+        let (outcome, kind) = if maybe_ran {
+            (Outcome::Unknown, RefusalKind::Unknown)
+        } else {
+            (Outcome::NotRun, RefusalKind::Unavailable)
+        };
+        let message = if maybe_ran {
+            "the same key is under way elsewhere and has no outcome yet"
+        } else {
+            "the record of the idempotency key could not be reached"
+        };
+        let refusal = Refusal::new(kind, message).retry_after(Duration::from_secs(2));
+        self.out.push(Output::GiveUp { exchange, outcome, refusal });
+        self.record_outcome(exchange, keyed.key, None);
+    }
+
+    pub(crate) fn route(&mut self, request: Request) {
+        let now = self.now;
+        let actions = self.router.submit(now, request);
+        self.act(actions);
+        let waits = |s: &routing::ServiceStats| s.interactive_waiting + s.batch_waiting > 0;
+        if self.router.service_stats().iter().any(waits) {
+            self.hurry_shares();
+        }
+    }
+
+    pub(crate) fn on_attempt_ended(
+        &mut self,
+        exchange: ExchangeId,
+        attempt: u32,
+        result: AttemptResult,
+        answer: Option<StoredAnswer>,
+    ) {
+        if let Some(keyed) = self.keyed.get_mut(&exchange) {
+            keyed.answer = answer;
+        }
+        let actions = self.router.finish(self.now, exchange, attempt, result);
+        self.act(actions);
+    }
+
+    pub(crate) fn on_abandoned(&mut self, exchange: ExchangeId) {
+        self.gathers.remove(&exchange);
+        self.router.abandon(exchange);
+        // What is with the router goes on if it was sent; what waits there was dropped.
+        let unsent = self.keyed.get(&exchange).is_some_and(|keyed| keyed.stage != Stage::Routed)
+            || !self.router.has(exchange);
+        if unsent {
+            if let Some(keyed) = self.keyed.remove(&exchange) {
+                self.record_outcome(exchange, keyed.key, None);
+            }
+        }
+    }
+
+    /// Does what the router wants.
+    pub(crate) fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { exchange, attempt, upstream, until } => {
+                    let keep_answer = self.keyed.contains_key(&exchange);
+                    let idle_connections = self.idle_connections(&upstream);
+                    self.out.push(Output::Forward {
+                        exchange,
+                        attempt,
+                        upstream,
+                        until,
+                        keep_answer,
+                        idle_connections,
+                    });
+                }
+                Action::Deliver { exchange } => {
+                    if let Some(keyed) = self.keyed.remove(&exchange) {
+                        let outcome =
+                            keyed.answer.map_or(StoredOutcome::Ran, StoredOutcome::Answered);
+                        self.record_outcome(exchange, keyed.key, Some(outcome));
+                    }
+                    self.out.push(Output::Deliver(exchange));
+                }
+                Action::GiveUp { exchange, outcome, reason, retry_after } => {
+                    self.give_up(exchange, outcome, reason, retry_after);
+                }
+            }
+        }
+    }
+
+    /// This host's part of the connections that an upstream takes beyond its slots.
+    fn idle_connections(&self, upstream: &UpstreamId) -> u32 {
+        let Some(record) = self.table.get(upstream) else { return 0 };
+        let hosts = self.cfg.peers.len() as u32 + 1;
+        record.announcement.connections.saturating_sub(record.announcement.slots) / hosts
+    }
+
+    fn give_up(
+        &mut self,
+        exchange: ExchangeId,
+        outcome: Outcome,
+        reason: String,
+        retry_after: Duration,
+    ) {
+        if let Some(keyed) = self.keyed.remove(&exchange) {
+            let stored = (outcome != Outcome::NotRun).then_some(StoredOutcome::Unknown);
+            self.record_outcome(exchange, keyed.key, stored);
+        }
+        let kind = match outcome {
+            Outcome::NotRun => RefusalKind::Overloaded,
+            _ => RefusalKind::Unknown,
+        };
+        let refusal = Refusal::new(kind, reason).retry_after(retry_after);
+        self.out.push(Output::GiveUp { exchange, outcome, refusal });
+    }
+
+    /// Records an outcome. The caller need not wait for it: whoever sends the key again does.
+    fn record_outcome(
+        &mut self,
+        exchange: ExchangeId,
+        key: String,
+        outcome: Option<StoredOutcome>,
+    ) {
+        let until = self.now + FINISH_FOR;
+        let finishing = Finishing { key, outcome, again: None, until };
+        self.finishing.insert(exchange, finishing);
+        self.send_outcome(exchange);
+    }
+
+    fn send_outcome(&mut self, exchange: ExchangeId) {
+        let owner = self.owner(exchange);
+        let Some(finishing) = self.finishing.get_mut(&exchange) else { return };
+        finishing.again = None;
+        let (key, outcome) = (finishing.key.clone(), finishing.outcome.clone());
+        let until = finishing.until;
+        let call = GroupCall::RecordFinish { key, owner, outcome };
+        self.call_group(call, Origin::Finish(exchange), 2, until);
+    }
+
+    pub(crate) fn on_record_finished(
+        &mut self,
+        exchange: ExchangeId,
+        answer: Result<Answer, Refusal>,
+    ) {
+        let again = self.now + POLL_EVERY;
+        match answer {
+            Ok(_) => {
+                self.finishing.remove(&exchange);
+            }
+            Err(_) => {
+                if let Some(finishing) = self.finishing.get_mut(&exchange) {
+                    finishing.again = Some(again);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn retry_finishing(&mut self) {
+        let now = self.now;
+        self.finishing.retain(|_, finishing| now < finishing.until);
+        let due = self.finishing.iter().filter(|(_, f)| f.again.is_some_and(|at| at <= now));
+        let due: Vec<ExchangeId> = due.map(|(exchange, _)| *exchange).collect();
+        for exchange in due {
+            self.send_outcome(exchange);
+        }
+    }
+}
+
+/// The class that a caller names in a header; interactive when it names none.
+///
+/// ```
+/// use routing::Class;
+/// assert_eq!(host::parse_class(Some("batch")), Ok(Class::Batch));
+/// assert!(host::parse_class(Some("fast")).is_err());
+/// ```
+pub fn parse_class(text: Option<&str>) -> Result<Class, String> {
+    match text {
+        None | Some("interactive") => Ok(Class::Interactive),
+        Some("batch") => Ok(Class::Batch),
+        Some(other) => Err(format!("class: `{other}` is neither interactive nor batch")),
+    }
+}
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -49,7 +49,7 @@
 /// Makes a [`Policy`].
 ///
 /// ```
-/// let policy = placement::PolicyBuilder::new().candidates(4).pack(true).build();
+/// let policy = placement::PolicyBuilder::new().candidates(2).build();
 /// assert_ne!(policy, placement::Policy::default());
 /// ```
 #[derive(Clone, Debug)]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,26 @@
-//! x
+//! Settings and release notes: reading, checking, and showing what is in force.
+//!
+//! Both are YAML. An error names the file, the line, the field and the cause.
+//!
+//! ```
+//! let text = "host: a-1\nzone: zone-a\nhosts:\n  - {host: a-1, zone: zone-b, peers: 127.0.0.1:1}\n";
+//! let error = settings::Settings::parse("a.yaml", text).unwrap_err();
+//! assert_eq!(
+//!     error.to_string(),
+//!     "a.yaml:2: zone: `a-1` is listed in zone-b, not in zone-a",
+//! );
+//! ```
+
+mod error;
+mod lines;
+mod model;
+mod note;
+mod voters;
+
+pub use error::{Error, ErrorKind};
+pub use model::{
+    DrainSettings, HostEntry, Limits, Listen, LogFormat, LogSettings, Settings,
+    DEFAULT_OPERATOR_TOKEN,
+};
+pub use note::{digest, parse_job, parse_job_file, parse_note, parse_note_file};
+pub use voters::{cell_voters, zone_voters, Voter};
--- /dev/null
+++ b/crates/settings/src/lines.rs
@@ -0,0 +1,54 @@
+//! Finding the line of a field, for errors that come after parsing.
+
+/// One step of a field's path.
+enum Step<'a> {
+    Key(&'a str),
+    Item(usize),
+}
+
+/// The line, counted from 1, on which the field at `path` stands in block-style YAML, or that of
+/// the nearest parent that can be found.
+pub(crate) fn line_of(text: &str, path: &str) -> usize {
+    let lines: Vec<&str> = text.lines().collect();
+    let mut at = 0;
+    let mut found = 1;
+    for step in steps(path) {
+        let next = match step {
+            Step::Key(key) => find_key(&lines, at, key),
+            Step::Item(index) => find_item(&lines, at + 1, index),
+        };
+        let Some(line) = next else { break };
+        at = line;
+        found = line + 1;
+    }
+    found
+}
+
+fn steps(path: &str) -> Vec<Step<'_>> {
+    let mut out = Vec::new();
+    for part in path.split('.') {
+        let mut pieces = part.split('[');
+        out.extend(pieces.next().filter(|key| !key.is_empty()).map(Step::Key));
+        let index = |piece: &str| piece.trim_end_matches(']').parse().ok();
+        out.extend(pieces.filter_map(index).map(Step::Item));
+    }
+    out
+}
+
+fn find_key(lines: &[&str], from: usize, key: &str) -> Option<usize> {
+    let has_key = |line: &&str| {
+        let line = line.trim_start().trim_start_matches("- ").trim_start_matches('{');
+        line.strip_prefix(key).is_some_and(|rest| rest.starts_with(':'))
+            || line.contains(&format!(" {key}:"))
+    };
+    lines.iter().copied().skip(from).position(|line| has_key(&line)).map(|i| from + i)
+}
+
+/// The line of the `index`th item of the first list from `from` on.
+fn find_item(lines: &[&str], from: usize, index: usize) -> Option<usize> {
+    let indent = |line: &str| line.len() - line.trim_start().len();
+    let items = lines.iter().enumerate().skip(from);
+    let items = items.filter(|(_, line)| line.trim_start().starts_with('-'));
+    let depth = indent(items.clone().next()?.1);
+    items.filter(|(_, line)| indent(line) == depth).nth(index).map(|(i, _)| i)
+}
--- a/crates/state/src/adopt.rs
+++ b/crates/state/src/adopt.rs
@@ -74,6 +74,6 @@
         let runs = job.runs.clone();
         let beyond = |fence: &Fence| self.runs.get(fence).is_some_and(|run| run.index >= tasks);
         let surplus: Vec<Fence> = runs.into_iter().filter(beyond).collect();
-        surplus.into_iter().for_each(|fence| self.stop(fence));
+        surplus.into_iter().for_each(|fence| self.stop(fence, effects));
     }
 }
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -1,7 +1,8 @@
 //! Commands of a zone, and what applying one says back.
 
-use crate::record::{Owner, RecordAnswer, StoredAnswer};
+use crate::record::{Owner, RecordAnswer, StoredOutcome};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 use types::{
     Fence, Incarnation, JobId, JobKey, JobSpec, Refusal, Resources, TaskOutcome, TeamQuota,
     Timestamp, Version, WorkerId,
@@ -149,8 +150,8 @@
         key: String,
         /// Who sent it.
         owner: Owner,
-        /// The answer, or `None` when it certainly did not run.
-        answer: Option<StoredAnswer>,
+        /// The outcome, or `None` when it certainly did not run.
+        outcome: Option<StoredOutcome>,
         /// When.
         at: Timestamp,
     },
@@ -183,6 +184,23 @@
     pub jobs: Vec<JobId>,
     /// Workers that changed.
     pub workers: Vec<WorkerId>,
+    /// Runs that began.
+    pub placed: Vec<Fence>,
+    /// Runs that are to stop.
+    pub stopped: Vec<Fence>,
+    /// Runs that are over.
+    pub ended: Vec<EndedRun>,
+}
+
+/// A run that is over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndedRun {
+    /// The run.
+    pub fence: Fence,
+    /// Its job.
+    pub job: JobId,
+    /// How long it ran, when it succeeded.
+    pub took: Option<Duration>,
 }
 
 /// One check switched off. Only tests set anything but `None`.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -19,8 +19,10 @@
 mod zone;
 
 pub use cell::{ApplyOutcome, CellCommand, CellState};
-pub use command::{Effects, Placement, Reply, RunEnd, Weakening, WorkerSpec, ZoneCommand, ZoneJob};
+pub use command::{
+    Effects, EndedRun, Placement, Reply, RunEnd, Weakening, WorkerSpec, ZoneCommand, ZoneJob,
+};
 pub use job::{Job, JobStatus, Run};
-pub use record::{Owner, Record, RecordAnswer, RecordPhase, StoredAnswer};
+pub use record::{Owner, Record, RecordAnswer, RecordPhase, StoredAnswer, StoredOutcome};
 pub use worker::{Worker, WorkerStatus};
 pub use zone::ZoneState;
--- a/crates/state/src/place.rs
+++ b/crates/state/src/place.rs
@@ -20,9 +20,12 @@
             effects.jobs.push(group[0].job);
             effects.workers.extend(group.iter().map(|p| p.worker.clone()));
             if self.must_start_together(group[0].job) {
-                placed += self.place_together(group, at);
+                placed += self.place_together(group, at, effects);
             } else {
-                placed += group.iter().filter(|p| self.place_one(p, at).is_some()).count();
+                let fences = group.iter().filter_map(|p| self.place_one(p, at));
+                let before = effects.placed.len();
+                effects.placed.extend(fences);
+                placed += effects.placed.len() - before;
             }
         }
         Reply::Placed(placed)
@@ -32,7 +35,12 @@
         self.jobs.get(&job).is_some_and(|j| j.spec.class == JobClass::AllAtOnce)
     }
 
-    fn place_together(&mut self, group: &[Placement], at: Timestamp) -> usize {
+    fn place_together(
+        &mut self,
+        group: &[Placement],
+        at: Timestamp,
+        effects: &mut Effects,
+    ) -> usize {
         let job = &self.jobs.get(&group[0].job).expect("looked up by the caller");
         if !job.runs.is_empty() || job.waiting() as usize != group.len() {
             return 0;
@@ -47,6 +55,7 @@
                 }
             }
         }
+        effects.placed.extend(fences);
         group.len()
     }
 
--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -17,7 +17,7 @@
 /// An upstream's answer, kept for whoever sends the request again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredAnswer {
-    /// HTTP status, or 0 when the outcome is unknown.
+    /// HTTP status.
     pub status: u16,
     /// The answer's content type.
     pub content_type: String,
@@ -25,13 +25,24 @@
     pub body: Vec<u8>,
 }
 
+/// What became of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoredOutcome {
+    /// It ran, with this answer.
+    Answered(StoredAnswer),
+    /// It ran; its answer was too large to keep.
+    Ran,
+    /// It may have run; nobody will ever know.
+    Unknown,
+}
+
 /// How far a request got.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RecordPhase {
     /// Its owner may have sent it.
     Begun,
-    /// It was answered, or its outcome is unknown for good.
-    Finished(StoredAnswer),
+    /// It will not be sent again.
+    Finished(StoredOutcome),
 }
 
 /// One record.
@@ -55,5 +66,5 @@
     /// Somebody else may have sent it and has not finished; since when.
     Begun(Owner, Timestamp),
     /// Answer with this.
-    Finished(StoredAnswer),
+    Finished(StoredOutcome),
 }
--- a/crates/state/src/zone.rs
+++ b/crates/state/src/zone.rs
@@ -1,8 +1,8 @@
 //! A zone's state and the commands that change it.
 
-use crate::command::{Effects, Reply, RunEnd, Weakening, WorkerSpec, ZoneCommand};
+use crate::command::{Effects, EndedRun, Reply, RunEnd, Weakening, WorkerSpec, ZoneCommand};
 use crate::job::{Job, JobStatus, Run};
-use crate::record::{Owner, Record, RecordAnswer, RecordPhase, StoredAnswer};
+use crate::record::{Owner, Record, RecordAnswer, RecordPhase, StoredOutcome};
 use crate::worker::{Worker, WorkerStatus};
 use serde::{Deserialize, Serialize};
 use types::{
@@ -98,7 +98,7 @@
             }
             ZoneCommand::Place { placements, at } => self.place(&placements, at, &mut effects),
             ZoneCommand::Stop { fences } => {
-                fences.iter().for_each(|fence| self.stop(*fence));
+                fences.iter().for_each(|fence| self.stop(*fence, &mut effects));
                 Reply::Done
             }
             ZoneCommand::End { worker, ends, at } => {
@@ -109,8 +109,8 @@
             ZoneCommand::RecordBegin { key, digest, owner, at } => {
                 self.begin_record(key, digest, owner, at)
             }
-            ZoneCommand::RecordFinish { key, owner, answer, at } => {
-                self.finish_record(key, owner, answer, at)
+            ZoneCommand::RecordFinish { key, owner, outcome, at } => {
+                self.finish_record(key, owner, outcome, at)
             }
             ZoneCommand::Trim { before } => self.trim(before, &mut effects),
         };
@@ -172,6 +172,7 @@
         worker.used = Resources::default();
         for fence in fences {
             let Some(run) = self.runs.remove(&fence) else { continue };
+            effects.ended.push(EndedRun { fence, job: run.job, took: None });
             let Some(job) = self.jobs.get_mut(&run.job) else { continue };
             job.runs.retain(|f| *f != fence);
             let may_repeat =
@@ -181,7 +182,7 @@
             } else {
                 job.unknown += 1;
             }
-            self.restart_together(run.job);
+            self.restart_together(run.job, effects);
             self.after_run(run.job, at, effects);
         }
     }
@@ -239,14 +240,16 @@
         }
         job.end(JobStatus::Cancelled, at);
         for fence in job.runs.clone() {
-            self.stop(fence);
+            self.stop(fence, effects);
         }
         effects.jobs.push(id);
     }
 
-    pub(crate) fn stop(&mut self, fence: Fence) {
+    pub(crate) fn stop(&mut self, fence: Fence, effects: &mut Effects) {
         if let Some(run) = self.runs.get_mut(&fence) {
             run.stopping = true;
+            effects.stopped.push(fence);
+            effects.workers.push(run.worker.clone());
         }
     }
 
@@ -256,6 +259,9 @@
             return;
         }
         let run = self.runs.remove(&end.fence).expect("looked up above");
+        let took = at.saturating_sub(run.placed);
+        let took = (end.outcome == TaskOutcome::Succeeded).then_some(took);
+        effects.ended.push(EndedRun { fence: end.fence, job: run.job, took });
         effects.workers.push(run.worker.clone());
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.runs.retain(|f| *f != end.fence);
@@ -266,7 +272,7 @@
         }
         match end.outcome {
             TaskOutcome::Succeeded => self.end_well(&run),
-            TaskOutcome::Failed => self.end_badly(&run, at),
+            TaskOutcome::Failed => self.end_badly(&run, at, effects),
             TaskOutcome::Stopped => self.end_stopped(&run),
         }
         self.after_run(run.job, at, effects);
@@ -285,7 +291,7 @@
         }
     }
 
-    fn end_badly(&mut self, run: &Run, at: Timestamp) {
+    fn end_badly(&mut self, run: &Run, at: Timestamp, effects: &mut Effects) {
         let Some(job) = self.jobs.get_mut(&run.job) else { return };
         let is_service = job.spec.class == JobClass::Service;
         if job.spec.unrepeatable {
@@ -299,11 +305,12 @@
             None => Vec::new(),
         };
         for id in forgiven {
+            effects.jobs.push(id);
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.forgive(&run.worker);
             }
         }
-        self.restart_together(run.job);
+        self.restart_together(run.job, effects);
     }
 
     fn end_stopped(&mut self, run: &Run) {
@@ -316,11 +323,11 @@
     }
 
     /// When one task of an all-at-once job is out, the others stop too and all wait together.
-    fn restart_together(&mut self, id: JobId) {
+    fn restart_together(&mut self, id: JobId, effects: &mut Effects) {
         let Some(job) = self.jobs.get(&id) else { return };
         if job.spec.class == JobClass::AllAtOnce {
             for fence in job.runs.clone() {
-                self.stop(fence);
+                self.stop(fence, effects);
             }
         }
     }
@@ -361,7 +368,7 @@
                 return Reply::Refused(Refusal::new(RefusalKind::KeyReused, message));
             }
             let answer = match &record.phase {
-                RecordPhase::Finished(answer) => RecordAnswer::Finished(answer.clone()),
+                RecordPhase::Finished(outcome) => RecordAnswer::Finished(outcome.clone()),
                 RecordPhase::Begun if record.owner == owner => RecordAnswer::Yours,
                 RecordPhase::Begun if self.weakening == Weakening::RestartRecords => {
                     RecordAnswer::Yours
@@ -379,16 +386,16 @@
         &mut self,
         key: String,
         owner: Owner,
-        answer: Option<StoredAnswer>,
+        outcome: Option<StoredOutcome>,
         at: Timestamp,
     ) -> Reply {
         let Some(record) = self.records.get_mut(&key) else { return Reply::Done };
         if record.owner != owner || record.phase != RecordPhase::Begun {
             return Reply::Done;
         }
-        match answer {
-            Some(answer) => {
-                record.phase = RecordPhase::Finished(answer);
+        match outcome {
+            Some(outcome) => {
+                record.phase = RecordPhase::Finished(outcome);
                 record.at = at;
             }
             // It did not run, so it may still be run once.
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -1,13 +1,15 @@
 //! The data folder as a whole: its owner, its identity, its groups.
 
+use crate::frame::{self, Frame};
 use crate::{Error, GroupStore, Opened};
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, TryLockError};
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use types::{HostId, MemberId, ZoneName};
+use types::{HostId, MemberId, Release, ZoneName};
 
 const IDENTITY_FILE: &str = "identity.json";
+const RELEASE_FILE: &str = "release";
 const LOCK_FILE: &str = "lock";
 const FORMAT: u32 = 1;
 
@@ -54,6 +56,24 @@
         &self.identity
     }
 
+    /// The release that was in force here last.
+    pub fn read_release(&self) -> Result<Option<Release>, Error> {
+        let path = self.path.join(RELEASE_FILE);
+        if !path.exists() {
+            return Ok(None);
+        }
+        let buf = fs::read(&path).map_err(Error::io(&path, "reading the release"))?;
+        match frame::decode(&buf) {
+            Frame::Whole(release, _) => Ok(Some(release)),
+            _ => Err(Error::Corrupt(path, 0, "the release is not whole".to_string())),
+        }
+    }
+
+    /// Keeps a release; it lasts when this returns.
+    pub fn save_release(&self, release: &Release) -> Result<(), Error> {
+        replace_file(&self.path.join(RELEASE_FILE), &frame::encode(release))
+    }
+
     /// Opens the store of one group, with what it holds.
     pub fn open_group(&self, name: &str) -> Result<Opened, Error> {
         GroupStore::open(&self.path.join(name))
