--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -8,8 +8,8 @@
 };
 use std::time::Duration;
 use types::{
-    Fence, HostId, Incarnation, JobKey, JobSpec, Refusal, Release, ReleaseNote, Resources,
-    Timestamp, UpstreamId, Version, WorkerId, ZoneName,
+    Fence, HostId, Incarnation, JobKey, JobSpec, MemberId, Refusal, Release, ReleaseNote,
+    Resources, Timestamp, UpstreamId, Version, WorkerId, ZoneName,
 };
 
 /// A call from outside.
@@ -154,7 +154,8 @@
     pub lease: Duration,
     /// Tasks to start, each once for its fence.
     pub start: Vec<StartRun>,
-    /// Runs to stop, saving their progress.
+    /// Runs to stop, saving their progress. One that was never started is never to be started,
+    /// and reported as stopped.
     pub stop: Vec<Fence>,
     /// Runs to slow down.
     pub throttle: Vec<Fence>,
@@ -258,6 +259,8 @@
 /// One member of a group.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberStatus {
+    /// Identity of its data folder.
+    pub id: MemberId,
     /// The entry host.
     pub host: HostId,
     /// `Voter`, `Witness` or `Learner`.
--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -15,6 +15,8 @@
 const SHARES_EVERY: Duration = Duration::from_millis(1_000);
 /// How soon they are asked for when requests wait.
 const SHARES_IN_A_HURRY: Duration = Duration::from_millis(50);
+/// After a pause, requests wait at most this long for news of upstreams.
+const RELEARN: Duration = Duration::from_millis(500);
 /// Least time between two pulls of what was missed.
 const PULL_EVERY: Duration = Duration::from_millis(500);
 
@@ -38,10 +40,11 @@
                 self.follow_upstreams(&news);
             }
             PeerMessage::Renewals(renewals) => self.table.merge_renewals(now, &renewals),
-            PeerMessage::PullUpstreams => {
-                let records = PeerMessage::Upstreams(self.table.records());
+            PeerMessage::PullUpstreams(number) => {
+                let records = PeerMessage::AllUpstreams(number, self.table.records());
                 self.send(&from, records);
             }
+            PeerMessage::AllUpstreams(number, records) => self.on_all_upstreams(number, records),
             PeerMessage::PullRelease(have) => {
                 if let Some(update) = self.release.update_for(have) {
                     self.send(&from, update);
@@ -73,11 +76,31 @@
         }
     }
 
+    fn on_all_upstreams(&mut self, number: u64, records: Vec<Record>) {
+        let news = self.table.merge(self.now, records);
+        self.follow_upstreams(&news);
+        if number == self.relearning {
+            self.relearning = 0;
+            self.router.hold(Timestamp::ZERO);
+            let actions = self.router.tick(self.now);
+            self.act(actions);
+        }
+    }
+
+    /// After a pause: an upstream may have left meanwhile, so requests wait until another host has
+    /// told what it knows, or for a while when none answers.
+    pub(crate) fn relearn_upstreams(&mut self) {
+        self.last_call += 1;
+        self.relearning = self.last_call;
+        self.router.hold(self.now + RELEARN);
+        self.send_all(&PeerMessage::PullUpstreams(self.relearning));
+    }
+
     fn on_beat(&mut self, from: &HostId, beat: Beat) {
         self.peers.hear_beat(from, &beat);
         if beat.upstreams != self.table.digest() && self.now >= self.next_pull {
             self.next_pull = self.now + PULL_EVERY;
-            self.send(from, PeerMessage::PullUpstreams);
+            self.send(from, PeerMessage::PullUpstreams(0));
         }
         if beat.release > self.release.current().version {
             self.pull_release_if_behind();
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -53,6 +53,8 @@
     pub(crate) next_shares: Timestamp,
     pub(crate) next_regular: Timestamp,
     pub(crate) next_pull: Timestamp,
+    /// Number of the request for upstreams that was sent after a pause, or 0.
+    pub(crate) relearning: u64,
     pub(crate) beat_due: bool,
     pub(crate) draining: bool,
     pub(crate) out: Vec<Output>,
@@ -100,6 +102,7 @@
             next_shares: start.now,
             next_regular: start.now,
             next_pull: start.now,
+            relearning: 0,
             beat_due: true,
             draining: false,
             out: Vec::new(),
@@ -190,6 +193,7 @@
             return;
         }
         self.table.forgive_silence(self.now);
+        self.relearn_upstreams();
         for group in self.groups.values_mut() {
             // Steps down where another may lead by now.
             group.raft.tick(now);
@@ -376,6 +380,7 @@
 fn group_status(group: &Group) -> GroupStatus {
     let raft = &group.raft;
     let members = raft.config().members().iter().map(|member| MemberStatus {
+        id: member.id,
         host: member.host.clone(),
         role: format!("{:?}", member.role),
         matched: if member.id == raft.id() {
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -54,8 +54,10 @@
     Upstreams(Vec<Record>),
     /// Upstreams of the zone that renewed.
     Renewals(Vec<Renewal>),
-    /// Send me all your upstreams.
-    PullUpstreams,
+    /// Send me all your upstreams; the number comes back with them.
+    PullUpstreams(u64),
+    /// All upstreams that the sender knows, and the number of the request.
+    AllUpstreams(u64, Vec<Record>),
     /// Send me what came after this release.
     PullRelease(Version),
     /// Accepted notes with their digests, in order.
--- a/crates/host/src/proxy.rs
+++ b/crates/host/src/proxy.rs
@@ -32,8 +32,8 @@
 enum Stage {
     /// Asking for the record.
     Asking,
-    /// Asking again at this time. True when somebody else may have sent the request.
-    Waiting(Timestamp, bool),
+    /// Asking again at this time.
+    Waiting(Timestamp),
     /// The record is ours, and the request is with the router.
     Routed,
 }
@@ -41,7 +41,7 @@
 impl Keyed {
     pub(crate) fn next_poll(&self) -> Option<Timestamp> {
         match self.stage {
-            Stage::Waiting(at, _) => Some(at.min(self.request.deadline)),
+            Stage::Waiting(at) => Some(at.min(self.request.deadline)),
             Stage::Asking => Some(self.request.deadline),
             Stage::Routed => None,
         }
@@ -63,7 +63,10 @@
         let Some(service) = self.release.current().services.get(&request.service) else {
             let version = self.release.current().version;
             let message = format!("service `{}` is not in release {version}", request.service);
-            self.refuse(exchange, RefusalKind::NotFound, message);
+            // Whether a key was used before is in its record, which is not asked for here.
+            let outcome = if request.key.is_some() { Outcome::Unknown } else { Outcome::NotRun };
+            let refusal = Refusal::new(RefusalKind::NotFound, message);
+            self.out.push(Output::GiveUp { exchange, outcome, refusal });
             return;
         };
         let timeout = request.timeout.map_or(service.timeout, |t| t.min(service.timeout));
@@ -84,17 +87,13 @@
         }
     }
 
-    fn refuse(&mut self, exchange: ExchangeId, kind: RefusalKind, message: String) {
-        let refusal = Refusal::new(kind, message);
-        self.out.push(Output::GiveUp { exchange, outcome: Outcome::NotRun, refusal });
-    }
-
     fn begin_keyed(&mut self, exchange: ExchangeId, key: String, digest: String, request: Request) {
         let printable = key.bytes().all(|b| b.is_ascii_graphic());
         if key.is_empty() || key.len() > MAX_KEY_BYTES || !printable {
             let message =
                 format!("idempotency key: must be 1 to {MAX_KEY_BYTES} printable characters");
-            self.refuse(exchange, RefusalKind::BadInput, message);
+            let refusal = Refusal::new(RefusalKind::BadInput, message);
+            self.out.push(Output::GiveUp { exchange, outcome: Outcome::NotRun, refusal });
             return;
         }
         let key = format!("{}/{key}", request.service);
@@ -128,7 +127,7 @@
         match answer {
             Ok(Answer::Record(RecordAnswer::Yours)) => {
                 if self.now >= keyed.request.deadline {
-                    self.give_up_asking(exchange, false);
+                    self.give_up_asking(exchange);
                     return;
                 }
                 keyed.stage = Stage::Routed;
@@ -136,7 +135,7 @@
                 self.route(request);
             }
             Ok(Answer::Record(RecordAnswer::Begun(..))) => {
-                keyed.stage = Stage::Waiting(next, true);
+                keyed.stage = Stage::Waiting(next);
             }
             Ok(Answer::Record(RecordAnswer::Finished(outcome))) => {
                 self.keyed.remove(&exchange);
@@ -145,13 +144,13 @@
             Err(refusal)
                 if matches!(refusal.kind, RefusalKind::Unavailable | RefusalKind::Unknown) =>
             {
-                keyed.stage = Stage::Waiting(next, false);
+                keyed.stage = Stage::Waiting(next);
             }
             Err(refusal) => {
                 self.keyed.remove(&exchange);
                 self.out.push(Output::GiveUp { exchange, outcome: Outcome::NotRun, refusal });
             }
-            Ok(_) => keyed.stage = Stage::Waiting(next, false),
+            Ok(_) => keyed.stage = Stage::Waiting(next),
         }
     }
 
@@ -183,30 +182,23 @@
         let due: Vec<ExchangeId> = due.map(|(exchange, _)| *exchange).collect();
         for exchange in due {
             let keyed = self.keyed.get(&exchange).expect("taken from the requests");
-            let maybe_ran = matches!(keyed.stage, Stage::Waiting(_, true));
             if now >= keyed.request.deadline {
-                self.give_up_asking(exchange, maybe_ran);
+                self.give_up_asking(exchange);
             } else {
                 self.ask_for_record(exchange);
             }
         }
     }
 
-    /// This exchange has sent nothing; another may have.
-    fn give_up_asking(&mut self, exchange: ExchangeId, maybe_ran: bool) {
+    /// This exchange has sent nothing, but another with the same key may have: without the record
+    /// nobody can say that the request was not run.
+    fn give_up_asking(&mut self, exchange: ExchangeId) {
         let Some(keyed) = self.keyed.remove(&exchange) else { return };
-        let (outcome, kind) = if maybe_ran {
-            (Outcome::Unknown, RefusalKind::Unknown)
-        } else {
-            (Outcome::NotRun, RefusalKind::Unavailable)
-        };
-        let message = if maybe_ran {
-            "the same key is under way elsewhere and has no outcome yet"
-        } else {
-            "the record of the idempotency key could not be reached"
-        };
-        let refusal = Refusal::new(kind, message).retry_after(Duration::from_secs(2));
-        self.out.push(Output::GiveUp { exchange, outcome, refusal });
+        let message = "the record of the idempotency key has no outcome or could not be reached; \
+                       it is safe to send the same key again";
+        let refusal =
+            Refusal::new(RefusalKind::Unknown, message).retry_after(Duration::from_secs(2));
+        self.out.push(Output::GiveUp { exchange, outcome: Outcome::Unknown, refusal });
         self.record_outcome(exchange, keyed.key, None);
     }
 
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -96,6 +96,7 @@
             services: SortedMap::default(),
             upstreams: SortedMap::default(),
             requests: SortedMap::default(),
+            held_until: Timestamp::ZERO,
         }
     }
 }
@@ -154,6 +155,7 @@
     services: SortedMap<ServiceName, Service>,
     upstreams: SortedMap<UpstreamId, Upstream>,
     requests: SortedMap<ExchangeId, Open>,
+    held_until: Timestamp,
 }
 
 impl Router {
@@ -184,6 +186,11 @@
         }
     }
 
+    /// Sends nothing before `until`, because what is known of upstreams may be old.
+    pub fn hold(&mut self, until: Timestamp) {
+        self.held_until = until;
+    }
+
     /// Upstreams known, with their lives.
     pub fn upstreams(&self) -> impl Iterator<Item = (&UpstreamId, Incarnation)> {
         self.upstreams.iter().map(|(id, u)| (id, u.info.incarnation))
@@ -384,7 +391,8 @@
 
     /// When [`Router::tick`] is due at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        self.services.values().filter_map(|service| service.lanes.next_deadline()).min()
+        let next = self.services.values().filter_map(|service| service.lanes.next_deadline()).min();
+        next.map(|at| if self.held_until.is_zero() { at } else { at.min(self.held_until) })
     }
 
     /// Whether a request waits or is under way.
@@ -399,6 +407,10 @@
 
     fn send_waiting(&mut self, now: Timestamp, name: &ServiceName) -> Vec<Action> {
         let mut actions = Vec::new();
+        if now < self.held_until {
+            return actions;
+        }
+        self.held_until = Timestamp::ZERO;
         for class in [Class::Interactive, Class::Batch] {
             while let Some(action) = self.send_next(now, name, class) {
                 actions.push(action);
--- a/crates/routing/src/shares.rs
+++ b/crates/routing/src/shares.rs
@@ -24,6 +24,9 @@
     (slots / (2 * hosts)).max(1)
 }
 
+/// Requests begun under a lease may go on for this long after it; until then their slots count.
+const GRACE: Duration = Duration::from_secs(1);
+
 /// What a host holds and wants of one upstream, besides its base share.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -79,7 +82,7 @@
     /// assert_eq!(later[0].slots, 5, "nobody else asks");
     /// ```
     pub fn new(now: Timestamp, lease: Duration) -> ShareLedger {
-        ShareLedger { lease, opens: now + lease, upstreams: SortedMap::default() }
+        ShareLedger { lease, opens: now + lease + GRACE, upstreams: SortedMap::default() }
     }
 
     /// Renews a host's leases.
@@ -108,7 +111,7 @@
     fn renew_one(&mut self, now: Timestamp, host: &str, own_zone: bool, ask: &Ask) -> u32 {
         let hosts = self.upstreams.get_or_insert_with(ask.upstream.clone(), SortedMap::default);
         hosts.retain(|_, holding| now < holding.until);
-        let until = now + self.lease;
+        let until = now + self.lease + GRACE;
         let mine = Holding { slots: ask.held, want: ask.want, own_zone, until };
         hosts.insert(host.to_string(), mine);
         let others: u32 = hosts.iter().filter(|(h, _)| *h != host).map(|(_, x)| x.slots).sum();
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -190,6 +190,9 @@
                 task.stopping = true;
                 task.outcome = Some(TaskOutcome::Stopped);
                 task.ends = Some(Instant::now());
+            } else if tasks.seen.insert(fence, ()).is_none() {
+                // It was never started here, and never will be.
+                tasks.ended.push(RunEnd { fence, outcome: TaskOutcome::Stopped });
             }
         }
     }
