Let a folder that was taken in by a cut-off leader be taken in again

Also found: an all-at-once job was planned for ever on a worker that takes one run at a time; a refusal that taught a leader nothing was answered at once, so that the two went on at the speed of the network. Ruled out: announcing such a folder as blank (two wiped folders and it could form the group anew). Conclusion: membership survives cuts in the middle of a repair.

--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -442,6 +442,7 @@
     fn campaign_if_allowed(&mut self) {
         self.reset_election();
         if !self.log.config().votes(self.id) {
+            self.state = State::Follower { leader: None };
             return;
         }
         self.state = State::PreCandidate { granted: vec![self.id] };
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -111,6 +111,7 @@
     fn on_append_reply(&mut self, from: MemberId, accepted: bool, index: Index, round: u64) {
         let last = self.log.last_index();
         let Some(progress) = self.hear_member(from, round) else { return };
+        let before = progress.next;
         if accepted {
             progress.snapshot = None;
             progress.matched = progress.matched.max(index.min(last));
@@ -118,7 +119,9 @@
         } else {
             progress.next = (index + 1).min(progress.next).max(progress.matched + 1);
         }
-        let behind = progress.next <= last || !accepted;
+        // A refusal that teaches nothing waits for the next heartbeat, or the two would go on at
+        // the speed of the network.
+        let behind = if accepted { progress.next <= last } else { progress.next != before };
         self.advance_commit();
         if behind {
             self.send_append(from);
--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -61,6 +61,12 @@
                 }
             }
             PeerMessage::Blank(id, member) => self.on_blank(&from, &id, member),
+            PeerMessage::Seek(id, member) => {
+                // Not as `Blank`: a folder that has a log never counts towards forming anew.
+                if self.groups.get(&id).is_some_and(|group| !group.knows_member(member)) {
+                    self.hear_newcomer(&from, &id, member);
+                }
+            }
             PeerMessage::Form(id, config) => {
                 if self.forming.contains_key(&id) && config.get(self.member).is_some() {
                     self.form(&id, config);
@@ -266,8 +272,29 @@
         let Some(group) = self.groups.get(id) else { return };
         if group.knows_member(member) {
             self.send(from, PeerMessage::Join(id.clone()));
-        } else if let Some(newcomers) = self.newcomers.get_mut(id) {
+        } else {
+            self.hear_newcomer(from, id, member);
+        }
+    }
+
+    fn hear_newcomer(&mut self, from: &HostId, id: &GroupId, member: MemberId) {
+        let now = self.now;
+        if let Some(newcomers) = self.newcomers.get_mut(id) {
             newcomers.hear(from, member, now);
         }
     }
+
+    /// Says in which groups no leader writes to this host. The one that took it in may have been
+    /// cut off and replaced, and its change of members undone.
+    pub(crate) fn seek_leaders(&mut self) {
+        let leaderless = self.groups.values().filter(|group| group.raft.leader().is_none());
+        let ids: Vec<GroupId> = leaderless.map(|group| group.id.clone()).collect();
+        for id in ids {
+            let me = self.cfg.host.clone();
+            let members = self.cfg.groups.get(&id).cloned().unwrap_or_default();
+            for member in members.iter().filter(|member| member.host != me) {
+                self.send(&member.host, PeerMessage::Seek(id.clone(), self.member));
+            }
+        }
+    }
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -223,6 +223,7 @@
             self.table.tick(now);
             self.spread_renewals();
             self.pull_release_if_behind();
+            self.seek_leaders();
         }
         self.spread_changes();
         self.renew_shares_if_due();
--- a/crates/host/src/leader.rs
+++ b/crates/host/src/leader.rs
@@ -310,6 +310,7 @@
         rack: worker.rack.clone(),
         capacity: if lost { Default::default() } else { worker.capacity },
         room: worker.room(now),
+        single: worker.on_probation,
     }
 }
 
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -66,6 +66,8 @@
     Release(Box<Release>),
     /// The sender's folder, with this identity, knows nothing of the group.
     Blank(GroupId, MemberId),
+    /// The sender's folder has the group's log under this identity, and no leader writes to it.
+    Seek(GroupId, MemberId),
     /// The group is formed by these members.
     Form(GroupId, Config),
     /// The receiver's folder is a member of the group: start empty and be told.
--- a/crates/host/tests/failures.rs
+++ b/crates/host/tests/failures.rs
@@ -260,3 +260,18 @@
         w.oracle.fault
     });
 }
+
+/// A leader that is cut off takes a new folder in; its change of members is undone by the next
+/// leader, which must hear of the folder too.
+#[test]
+fn a_folder_taken_in_by_a_leader_that_is_cut_off_is_taken_in_again() {
+    let mut w = World::started(&[]);
+    w.wipe(2);
+    w.run(Duration::from_millis(100));
+    w.cut_zone(1);
+    w.run(Duration::from_millis(100));
+    w.start(2);
+    w.run(seconds(5));
+    w.settle();
+    assert_eq!(w.oracle.fault, None);
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,7 +18,7 @@
 //! let room = Resources { cpu: 8_000, memory: 8 << 30, accelerators: 0 };
 //! let mut planner = Planner::new(Policy::default(), 1);
 //! planner.upsert_worker(WorkerView {
-//!     id: "w1".into(), incarnation: 1, rack: "r1".into(), capacity: room, room,
+//!     id: "w1".into(), incarnation: 1, rack: "r1".into(), capacity: room, room, single: false,
 //! });
 //! let ask = Resources { cpu: 1_000, memory: 1 << 30, accelerators: 0 };
 //! planner.upsert_job(JobView::new(1, "planning", "sync", JobClass::Batch, ask));
--- a/crates/placement/src/reservation.rs
+++ b/crates/placement/src/reservation.rs
@@ -36,7 +36,8 @@
     ) -> Option<Reservation> {
         let mut rooms: Vec<Resources> =
             (0..workers.slot_count()).map(|slot| workers.index.room(slot)).collect();
-        let mut fitting: u64 = rooms.iter().map(|room| copies(need, room)).sum();
+        let count = |slot: Slot, room: &Resources| workers.copies(slot, need, room);
+        let mut fitting: u64 = rooms.iter().enumerate().map(|(slot, room)| count(slot, room)).sum();
         ends.sort_by_key(|end| end.at);
         let mut start = now;
         for end in ends {
@@ -44,15 +45,16 @@
                 break;
             }
             let room = &mut rooms[end.slot];
-            let before = copies(need, room);
+            let before = count(end.slot, room);
             *room = room.checked_add(&end.resources).unwrap_or(*room);
-            fitting += copies(need, room) - before;
+            fitting += count(end.slot, room) - before;
             start = end.at.max(now);
         }
         if fitting < u64::from(tasks) {
             return None;
         }
-        let slots = fullest_slots(&rooms, need, tasks);
+        let counts = rooms.iter().enumerate().map(|(slot, room)| (slot, count(slot, room)));
+        let slots = fullest_slots(counts.collect(), tasks);
         Some(Reservation { job, start, made: now, slots })
     }
 
@@ -62,10 +64,9 @@
     }
 }
 
-/// The fewest slots that hold all tasks, sorted.
-fn fullest_slots(rooms: &[Resources], need: &Resources, tasks: u32) -> Vec<Slot> {
-    let counts = rooms.iter().map(|room| copies(need, room)).enumerate();
-    let mut by_count: Vec<(Slot, u64)> = counts.filter(|(_, n)| *n > 0).collect();
+/// The fewest slots that hold all tasks, sorted; `by_count` has how many each slot takes.
+fn fullest_slots(mut by_count: Vec<(Slot, u64)>, tasks: u32) -> Vec<Slot> {
+    by_count.retain(|(_, count)| *count > 0);
     by_count.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
     let mut missing = u64::from(tasks);
     let mut slots = Vec::new();
--- a/crates/placement/src/together.rs
+++ b/crates/placement/src/together.rs
@@ -1,6 +1,5 @@
 //! Room for all tasks of an all-at-once job, within one rack where that can be.
 
-use crate::reservation::copies;
 use crate::workers::{Slot, Workers};
 use types::Resources;
 
@@ -21,7 +20,7 @@
 }
 
 fn rack_room(workers: &Workers, need: &Resources, slots: &[Slot]) -> u64 {
-    slots.iter().map(|slot| copies(need, &workers.index.room(*slot))).sum()
+    slots.iter().map(|slot| workers.copies(*slot, need, &workers.index.room(*slot))).sum()
 }
 
 fn fill<I>(workers: &Workers, need: &Resources, tasks: u32, slots: I) -> Option<Vec<Slot>>
@@ -31,7 +30,7 @@
     let mut found = Vec::with_capacity(tasks as usize);
     for slot in slots {
         let missing = tasks as usize - found.len();
-        let here = copies(need, &workers.index.room(slot)).min(missing as u64);
+        let here = workers.copies(slot, need, &workers.index.room(slot)).min(missing as u64);
         found.extend(std::iter::repeat_n(slot, here as usize));
         if found.len() == tasks as usize {
             return Some(found);
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -16,6 +16,8 @@
     pub capacity: Resources,
     /// What is free for new work; nothing while it gets none.
     pub room: Resources,
+    /// It takes one run at a time.
+    pub single: bool,
 }
 
 /// A job with waiting tasks.
--- a/crates/placement/src/workers.rs
+++ b/crates/placement/src/workers.rs
@@ -1,6 +1,7 @@
 //! The planner's workers, in slots, with racks.
 
 use crate::index::FitIndex;
+use crate::reservation::copies;
 use crate::view::WorkerView;
 use types::{Incarnation, JobId, Resources, SortedMap, WorkerId};
 
@@ -13,6 +14,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) rack: usize,
     pub(crate) capacity: Resources,
+    pub(crate) single: bool,
     /// Jobs of the runs here, for spreading services.
     pub(crate) jobs: Vec<JobId>,
 }
@@ -55,8 +57,8 @@
         self.capacity = self.capacity.checked_add(&view.capacity).unwrap_or(self.capacity);
         self.by_id.insert(view.id.clone(), slot);
         self.index.set(slot, view.room);
-        let WorkerView { id, incarnation, capacity, .. } = view;
-        self.slots[slot] = Some(WorkerSlot { id, incarnation, rack, capacity, jobs });
+        let WorkerView { id, incarnation, capacity, single, .. } = view;
+        self.slots[slot] = Some(WorkerSlot { id, incarnation, rack, capacity, single, jobs });
     }
 
     pub(crate) fn remove(&mut self, id: &WorkerId) {
@@ -102,7 +104,18 @@
 
     /// Takes room in a slot until the state says how it is.
     pub(crate) fn take(&mut self, slot: Slot, resources: &Resources) {
+        let single = self.get(slot).is_some_and(|worker| worker.single);
         let room = self.index.room(slot).saturating_sub(resources);
-        self.index.set(slot, room);
+        self.index.set(slot, if single { Resources::default() } else { room });
+    }
+
+    /// How many tasks of this size a slot takes with this room.
+    pub(crate) fn copies(&self, slot: Slot, need: &Resources, room: &Resources) -> u64 {
+        let most = match self.get(slot) {
+            Some(worker) if worker.single => 1,
+            Some(_) => u64::MAX,
+            None => 0,
+        };
+        copies(need, room).min(most)
     }
 }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -17,8 +17,16 @@
     client: InnerClient,
 }
 
-/// Connects to a peer and says hello. `spawn` runs the connection's own task.
+/// Connects to a peer as the host `me`. `spawn` runs the connection's own task.
 pub async fn connect<F>(addr: SocketAddr, me: &HostId, spawn: F) -> Result<PeerClient, Error>
+where
+    F: FnOnce(futures::future::BoxFuture<'static, ()>),
+{
+    say_hello(addr, Hello { version: PROTOCOL_VERSION, host: me.clone() }, spawn).await
+}
+
+/// Connects to a peer and opens the connection with this hello.
+pub async fn say_hello<F>(addr: SocketAddr, hello: Hello, spawn: F) -> Result<PeerClient, Error>
 where
     F: FnOnce(futures::future::BoxFuture<'static, ()>),
 {
@@ -33,7 +41,6 @@
         let _ = dispatch.await;
     }));
     let peer = PeerClient { client: new.client };
-    let hello = Hello { version: PROTOCOL_VERSION, host: me.clone() };
     let answer = peer.client.hello(context(), hello).await;
     flatten(answer)?;
     Ok(peer)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,7 +11,7 @@
 use host::PeerMessage;
 use types::HostId;
 
-pub use client::{connect, PeerClient};
+pub use client::{connect, say_hello, PeerClient};
 pub use error::{Error, ErrorKind};
 pub use server::{serve, Deliver};
 
