--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -158,3 +158,18 @@
     let _ = async_std::future::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
     String::from_utf8_lossy(&answer).into_owned()
 }
+
+impl Drop for Lab {
+    /// Shows what the processes said when a test fails.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for host in &self.cell.hosts {
+            let log = std::fs::read_to_string(host.log_path()).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().rev().take(12).collect();
+            println!("last lines of {}:", host.name);
+            lines.iter().rev().for_each(|line| println!("  {line}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/examples/placement.rs
@@ -0,0 +1,109 @@
+//! Prints waiting time, deadlines, packing and cost of each policy, with seeds.
+
+use experiment::{
+    easy, first_fit_fifo, planner, random_fit, run, Outcome, Workload, WorkloadBuilder,
+};
+use hdrhistogram::Histogram;
+use placement::Policy;
+use std::time::Duration;
+
+fn main() {
+    let only: Option<String> = std::env::args().nth(1);
+    for workload in workloads() {
+        if only.as_ref().is_some_and(|name| !workload.name.contains(name.as_str())) {
+            continue;
+        }
+        let tasks: u64 = workload.jobs.iter().map(|job| u64::from(job.tasks)).sum();
+        println!(
+            "\n## {}: {} workers, {} jobs, {tasks} tasks, {:?}\n",
+            workload.name,
+            workload.workers,
+            workload.jobs.len(),
+            workload.horizon
+        );
+        println!(
+            "| policy | urgent p50/p99/max s | service p99 s | batch p50/p99 s | together p50/p99 s \
+             | in time | packing | stopped (lost s) | decision p99 µs | placements/s |"
+        );
+        println!("|---|---|---|---|---|---|---|---|---|---|");
+        let (worker, count) = (workload.worker, workload.workers);
+        let ours = |name, policy| planner(name, policy, worker, count, workload.rack);
+        let mut schedulers = vec![
+            ours("waiting-first", Policy::waiting_first()),
+            ours("packing-first", Policy::packing_first()),
+            first_fit_fifo(worker, count),
+        ];
+        // The plain ones look at every worker for every task.
+        if count <= 2_000 {
+            schedulers.push(random_fit(worker, count));
+            schedulers.push(easy(worker, count));
+        }
+        for scheduler in schedulers {
+            print_row(&run(&workload, scheduler));
+        }
+    }
+}
+
+fn workloads() -> Vec<Workload> {
+    let hour = Duration::from_secs(3_600);
+    vec![
+        WorkloadBuilder::new("enlaces", 50).load(1.05).kinds(0.10, 0.05).seed(71).build(),
+        WorkloadBuilder::new("zeitwerk", 50)
+            .cores(60)
+            .load(1.05)
+            .services(0.1)
+            .kinds(0.02, 0.15)
+            .mean_run(120.0)
+            .seed(72)
+            .build(),
+        WorkloadBuilder::new("zone-of-two-years", 1_450)
+            .accelerators(2)
+            .load(0.95)
+            .teams(130)
+            .mean_run(60.0)
+            .horizon(hour / 4)
+            .seed(73)
+            .build(),
+        WorkloadBuilder::new("whole-of-two-years", 16_000)
+            .accelerators(2)
+            .load(0.95)
+            .teams(130)
+            .mean_run(60.0)
+            .horizon(hour / 12)
+            .seed(74)
+            .build(),
+        WorkloadBuilder::new("cost-1000", 1_000).load(0.9).horizon(hour / 12).seed(75).build(),
+        WorkloadBuilder::new("cost-4000", 4_000).load(0.9).horizon(hour / 12).seed(75).build(),
+        WorkloadBuilder::new("cost-16000", 16_000).load(0.9).horizon(hour / 12).seed(75).build(),
+    ]
+}
+
+fn seconds(histogram: &Histogram<u64>, quantile: f64) -> String {
+    if histogram.is_empty() {
+        return "-".to_string();
+    }
+    format!("{:.2}", histogram.value_at_quantile(quantile) as f64 / 1_000.0)
+}
+
+fn print_row(o: &Outcome) {
+    let s = seconds;
+    println!(
+        "| {} | {}/{}/{} | {} | {}/{} | {}/{} | {}/{} | {:.1}% | {} ({:.0}) | {:.1} | {:.0} |",
+        o.policy,
+        s(&o.urgent, 0.5),
+        s(&o.urgent, 0.99),
+        s(&o.urgent, 1.0),
+        s(&o.services, 0.99),
+        s(&o.batch, 0.5),
+        s(&o.batch, 0.99),
+        s(&o.together, 0.5),
+        s(&o.together, 0.99),
+        o.in_time.0,
+        o.in_time.1,
+        o.packing * 100.0,
+        o.preempted.0,
+        o.preempted.1,
+        o.decision.value_at_quantile(0.99) as f64 / 1_000.0,
+        o.placements as f64 / o.planning.as_secs_f64().max(1e-9),
+    );
+}
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -15,8 +15,9 @@
     WorkerId,
 };
 
-/// A reservation is worked out again after this time.
-const RESERVATION_LIFE: Duration = Duration::from_secs(5);
+/// A reservation is worked out again after this time. Until then its workers drain, however wrong
+/// the estimates were; working it out often would let its start slip for ever.
+const RESERVATION_LIFE: Duration = Duration::from_secs(120);
 /// Tasks of one job placed before other teams get their turn.
 const TASKS_PER_TURN: u32 = 64;
 /// Slots skipped because of a reservation before a task waits.
@@ -377,7 +378,7 @@
         }
         let end = match job.class {
             JobClass::Service => Timestamp::MAX,
-            _ => draft.now + self.predict(job),
+            _ => draft.now.saturating_add(self.predict(job)),
         };
         for placed in 0..allowed {
             if draft.is_full() {
@@ -395,26 +396,26 @@
     }
 
     fn place_together(&mut self, job: &JobView, draft: &mut Draft) -> u32 {
-        let reserved = self.reservation.as_ref().map(|r| r.job);
         // Only the job that holds the reservation may use what is kept for it.
-        if reserved.is_some_and(|id| id != job.id) {
-            return 0;
-        }
-        match together::find_slots(&self.workers, &job.resources, job.waiting) {
-            Some(slots) => {
-                slots.into_iter().for_each(|slot| self.take(job, slot, draft));
-                self.reservation = None;
-                job.waiting
-            }
-            None => {
+        let other = self.reservation.as_ref().filter(|r| r.job != job.id);
+        let end = draft.now.saturating_add(self.predict(job));
+        let allowed = |slot| other.is_none_or(|r| r.allows(slot, end));
+        let slots = together::find_slots(&self.workers, &job.resources, job.waiting, allowed);
+        let Some(slots) = slots else {
+            if other.is_none() {
                 self.reserve(job, draft);
-                0
             }
+            return 0;
+        };
+        if other.is_none() {
+            self.reservation = None;
         }
+        slots.into_iter().for_each(|slot| self.take(job, slot, draft));
+        job.waiting
     }
 
     fn reserve(&mut self, job: &JobView, draft: &mut Draft) {
-        let fresh = |r: &Reservation| draft.now < r.made + RESERVATION_LIFE && draft.now < r.start;
+        let fresh = |r: &Reservation| draft.now < r.made + RESERVATION_LIFE;
         if !self.reservation.as_ref().is_some_and(fresh) {
             let ends = self.predicted_ends(draft.now);
             self.reservation = Reservation::make(
--- a/crates/placement/src/together.rs
+++ b/crates/placement/src/together.rs
@@ -3,20 +3,29 @@
 use crate::workers::{Slot, Workers};
 use types::Resources;
 
-/// A slot for each of `tasks` tasks, or `None` when they don't all fit now.
-pub(crate) fn find_slots(workers: &Workers, need: &Resources, tasks: u32) -> Option<Vec<Slot>> {
+/// An allowed slot for each of `tasks` tasks, or `None` when they don't all fit now.
+pub(crate) fn find_slots<F>(
+    workers: &Workers,
+    need: &Resources,
+    tasks: u32,
+    allowed: F,
+) -> Option<Vec<Slot>>
+where
+    F: Fn(Slot) -> bool,
+{
     if !workers.index.may_fit(need) {
         return None;
     }
     let in_one_rack = workers.racks.iter().filter_map(|rack| {
-        let slots = fill(workers, need, tasks, rack.slots.iter().copied())?;
+        let slots =
+            fill(workers, need, tasks, rack.slots.iter().copied().filter(|slot| allowed(*slot)))?;
         Some((rack_room(workers, need, &rack.slots), slots))
     });
     // The tightest rack that is large enough leaves the others whole.
     if let Some((_, slots)) = in_one_rack.min_by_key(|(room, _)| *room) {
         return Some(slots);
     }
-    fill(workers, need, tasks, 0..workers.slot_count())
+    fill(workers, need, tasks, (0..workers.slot_count()).filter(|slot| allowed(*slot)))
 }
 
 fn rack_room(workers: &Workers, need: &Resources, slots: &[Slot]) -> u64 {
