--- a/crates/host/src/config.rs
+++ b/crates/host/src/config.rs
@@ -68,6 +68,7 @@
     pub(crate) max_waiting: usize,
     pub(crate) max_timeout: Duration,
     pub(crate) keep_ended: Duration,
+    pub(crate) keep_records: Duration,
     pub(crate) entries_per_snapshot: u64,
     pub(crate) tuning: Tuning,
     pub(crate) weakening: Weakening,
@@ -133,6 +134,7 @@
                 max_waiting: 2_000,
                 max_timeout: Duration::from_secs(60),
                 keep_ended: Duration::from_secs(7 * 24 * 3_600),
+                keep_records: Duration::from_secs(24 * 3_600),
                 entries_per_snapshot: 5_000,
                 tuning: Tuning {
                     heartbeat: Duration::from_millis(200),
@@ -186,7 +188,13 @@
         self
     }
 
-    /// How long ended jobs, lost workers and idempotency records are remembered.
+    /// How long idempotency records are kept: a key sent again later counts as new.
+    pub fn keep_records(mut self, time: Duration) -> Self {
+        self.config.keep_records = time;
+        self
+    }
+
+    /// How long ended jobs and lost workers are remembered.
     pub fn keep_ended(mut self, time: Duration) -> Self {
         self.config.keep_ended = time;
         self
--- a/crates/host/src/duties.rs
+++ b/crates/host/src/duties.rs
@@ -118,7 +118,10 @@
         commands.extend(abandoned_records(state, now, cfg.max_timeout + RECORD_GRACE));
         if now >= leader.next_trim {
             leader.next_trim = now + TRIM_EVERY;
-            commands.push(ZoneCommand::Trim { before: now.saturating_sub(cfg.keep_ended) });
+            commands.push(ZoneCommand::Trim {
+                before: now.saturating_sub(cfg.keep_ended),
+                records_before: now.saturating_sub(cfg.keep_records),
+            });
         }
         for command in commands {
             self.propose(id, command, Then::Nothing);
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -61,7 +61,7 @@
     workers: Workers,
     jobs: SortedMap<JobId, Box<JobView>>,
     queue: Queue,
-    runs: SortedMap<Fence, RunView>,
+    runs: SortedMap<Fence, Box<RunView>>,
     runs_by_slot: SortedMap<Slot, Vec<Fence>>,
     teams: Teams,
     estimates: Estimates,
@@ -168,7 +168,7 @@
                 worker.jobs.push(run.job);
             }
         }
-        self.runs.insert(run.fence, run);
+        self.runs.insert(run.fence, Box::new(run));
     }
 
     /// Forgets a run.
@@ -449,7 +449,7 @@
             let at = if at <= now { now + OVERRUN_GRACE } else { at };
             Some(PredictedEnd { at, slot, resources: run.resources })
         };
-        self.runs.values().filter_map(end).collect()
+        self.runs.values().filter_map(|run| end(run)).collect()
     }
 
     /// The best of some fitting workers, none of which the task must leave to a reservation.
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -20,7 +20,7 @@
 pub(crate) fn choose(
     workers: &Workers,
     runs_by_slot: &SortedMap<Slot, Vec<Fence>>,
-    runs: &SortedMap<Fence, RunView>,
+    runs: &SortedMap<Fence, Box<RunView>>,
     need: &Resources,
     start: Slot,
     now: Timestamp,
@@ -31,7 +31,7 @@
         let fences = runs_by_slot.get(&slot)?;
         let mut victims: Vec<&RunView> = fences
             .iter()
-            .filter_map(|fence| runs.get(fence))
+            .filter_map(|fence| runs.get(fence).map(|run| &**run))
             .filter(|run| run.preemptible && !run.stopping)
             .collect();
         // The youngest have the least to lose.
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -155,10 +155,12 @@
         /// When.
         at: Timestamp,
     },
-    /// Ended jobs, lost workers and records from before this time are forgotten.
+    /// What is old is forgotten.
     Trim {
-        /// The time.
+        /// For ended jobs and lost workers.
         before: Timestamp,
+        /// For idempotency records.
+        records_before: Timestamp,
     },
 }
 
--- a/crates/state/src/zone.rs
+++ b/crates/state/src/zone.rs
@@ -112,7 +112,9 @@
             ZoneCommand::RecordFinish { key, owner, outcome, at } => {
                 self.finish_record(key, owner, outcome, at)
             }
-            ZoneCommand::Trim { before } => self.trim(before, &mut effects),
+            ZoneCommand::Trim { before, records_before } => {
+                self.trim(before, records_before, &mut effects)
+            }
         };
         (reply, effects)
     }
@@ -229,6 +231,11 @@
         let Some(id) = self.names.get(key).copied() else {
             return not_found(format!("job `{key}` does not exist"));
         };
+        if let Some(version) = self.jobs.get(&id).and_then(|job| job.added) {
+            let message =
+                format!("job `{key}` is declared by release {version}; withdraw it there");
+            return Reply::Refused(Refusal::new(RefusalKind::Conflict, message));
+        }
         self.cancel(id, at, effects);
         Reply::Job(id)
     }
@@ -407,7 +414,12 @@
         Reply::Done
     }
 
-    fn trim(&mut self, before: Timestamp, effects: &mut Effects) -> Reply {
+    fn trim(
+        &mut self,
+        before: Timestamp,
+        records_before: Timestamp,
+        effects: &mut Effects,
+    ) -> Reply {
         // A declared job stays known as long as its release may list it, or it would run again.
         let gone = |job: &Job| {
             let at_rest = job.runs.is_empty() && !self.is_behind_earlier(job);
@@ -419,7 +431,7 @@
             self.forget_job(id);
             effects.jobs.push(id);
         }
-        self.records.retain(|_, record| record.at >= before);
+        self.records.retain(|_, record| record.at >= records_before);
         self.workers.retain(|id, worker| {
             let old = worker.lost_at.is_some_and(|at| at < before);
             if old {
