Give back the slot of an attempt that is dropped; log jobs, requests, terms

Cause: reading the code as a newcomer: a handler that is dropped in the middle of an attempt never told the router, whose slot was lost; waiting times grew without end where nobody reads the metrics; logs did not say which job, request or term. Ruled out: none of them showed in a test, since handlers are not dropped today. Change: the attempt reports itself on drop; 20,000 waiting times are kept; log fields; a test that commands that come together are written together.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -20,6 +20,8 @@
 const MAX_BATCH: usize = 512;
 /// Longest sleep, so that cancellation is noticed.
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
+/// Waiting times kept for the next reading of the metrics; where nobody reads, the oldest go.
+const MAX_WAITS: usize = 20_000;
 /// How often counts and gauges are published.
 const STATS_EVERY: Duration = Duration::from_secs(1);
 
@@ -145,7 +147,10 @@
         self.next_stats = now + STATS_EVERY;
         let mut next = self.host.take_stats();
         let mut shared = self.stats.lock().expect("no one panics with the lock");
+        log_leadership(&shared, &next);
         next.waits.splice(0..0, std::mem::take(&mut shared.waits));
+        let surplus = next.waits.len().saturating_sub(MAX_WAITS);
+        next.waits.drain(..surplus);
         *shared = next;
     }
 }
@@ -200,6 +205,18 @@
     }
 }
 
+fn log_leadership(before: &HostStats, now: &HostStats) {
+    if before.leads_zone != now.leads_zone {
+        log::info!(term = now.zone_term, leads = now.leads_zone; "leadership of the zone");
+    }
+    if before.leads_cell != now.leads_cell {
+        log::info!(leads = now.leads_cell; "leadership of the cell");
+    }
+    if before.workers_lost != now.workers_lost {
+        log::warn!(term = now.zone_term, since_start = now.workers_lost; "workers lost");
+    }
+}
+
 fn log_restored(id: &GroupId, restored: &Restored) {
     log::info!(
         group = id.to_string().as_str(),
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tide::{Request, Response, StatusCode};
-use types::{Refusal, RefusalKind, Timestamp};
+use types::{ExchangeId, Refusal, RefusalKind, Timestamp};
 
 const KEY_HEADER: &str = "idempotency-key";
 const TIMEOUT_HEADER: &str = "ebonywalk-timeout";
@@ -39,6 +39,13 @@
     let ended = carry(&shared, &mut exchange, &outgoing).await;
     let took = shared.clock.now().saturating_sub(started);
     note(&shared, &service, &ended, took);
+    log::debug!(
+        request = exchange.id,
+        service = service.as_str(),
+        outcome = ended.outcome().as_str(),
+        millis = took.as_millis() as u64;
+        "request ended"
+    );
     Ok(respond(ended))
 }
 
@@ -49,6 +56,15 @@
     GivenUp(Outcome, Refusal),
 }
 
+impl Ended {
+    fn outcome(&self) -> Outcome {
+        match self {
+            Ended::Answered(..) | Ended::Replayed(_) => Outcome::Ran,
+            Ended::GivenUp(outcome, _) => *outcome,
+        }
+    }
+}
+
 /// Does what the engine says until the request has ended.
 async fn carry(shared: &Shared, exchange: &mut Exchange, outgoing: &Outgoing) -> Ended {
     let mut last: Option<(Incoming, String)> = None;
@@ -56,11 +72,12 @@
         match output {
             Output::Forward { attempt, upstream, until, keep_answer, idle_connections, .. } => {
                 let limit = shared.clock.until(until);
+                let mut open = OpenAttempt { shared, exchange: exchange.id, attempt, done: false };
                 let sent = shared.upstreams.send(&upstream, outgoing, limit, idle_connections);
                 let (result, incoming) = sent.await;
                 let answer = incoming.as_ref().filter(|_| keep_answer).map(stored);
                 last = incoming.map(|incoming| (incoming, upstream));
-                report(shared, exchange, attempt, result, answer);
+                open.end(result, answer);
             }
             Output::Deliver(_) => {
                 if let Some((incoming, upstream)) = last.take() {
@@ -83,15 +100,28 @@
     Ended::GivenUp(Outcome::Unknown, refusal)
 }
 
-fn report(
-    shared: &Shared,
-    exchange: &Exchange,
+/// An attempt under way. However it ends, the router must hear of it, or its slot is lost.
+struct OpenAttempt<'a> {
+    shared: &'a Shared,
+    exchange: ExchangeId,
     attempt: u32,
-    result: AttemptResult,
-    answer: Option<StoredAnswer>,
-) {
-    let exchange = exchange.id;
-    shared.handle.input(Input::AttemptEnded { exchange, attempt, result, answer });
+    done: bool,
+}
+
+impl OpenAttempt<'_> {
+    fn end(&mut self, result: AttemptResult, answer: Option<StoredAnswer>) {
+        self.done = true;
+        let (exchange, attempt) = (self.exchange, self.attempt);
+        self.shared.handle.input(Input::AttemptEnded { exchange, attempt, result, answer });
+    }
+}
+
+impl Drop for OpenAttempt<'_> {
+    fn drop(&mut self) {
+        if !self.done {
+            self.end(AttemptResult::Lost, None);
+        }
+    }
 }
 
 fn stored(incoming: &Incoming) -> StoredAnswer {
@@ -218,22 +248,16 @@
 
 /// Counts a request in metrics and burn.
 fn note(shared: &Shared, service: &str, ended: &Ended, took: Duration) {
-    let (outcome, verdict) = match ended {
-        Ended::Answered(incoming, _) if incoming.status.is_server_error() => {
-            (Outcome::Ran, Verdict::Failed)
-        }
-        Ended::Answered(..) | Ended::Replayed(_) => (Outcome::Ran, Verdict::Good),
-        Ended::GivenUp(Outcome::Ran, _) => (Outcome::Ran, Verdict::Failed),
-        Ended::GivenUp(Outcome::NotRun, refusal) => {
-            // What nobody serves is nobody's failure, and its name may be anything.
-            if refusal.kind == RefusalKind::NotFound {
-                return;
-            }
-            (Outcome::NotRun, Verdict::NotRun)
-        }
-        Ended::GivenUp(Outcome::Unknown, _) => (Outcome::Unknown, Verdict::Unknown),
+    let verdict = match ended {
+        // What nobody serves is nobody's failure, and its name may be anything.
+        Ended::GivenUp(_, refusal) if refusal.kind == RefusalKind::NotFound => return,
+        Ended::Answered(incoming, _) if incoming.status.is_server_error() => Verdict::Failed,
+        Ended::Answered(..) | Ended::Replayed(_) => Verdict::Good,
+        Ended::GivenUp(Outcome::Ran, _) => Verdict::Failed,
+        Ended::GivenUp(Outcome::NotRun, _) => Verdict::NotRun,
+        Ended::GivenUp(Outcome::Unknown, _) => Verdict::Unknown,
     };
-    shared.metrics.note_request(service, outcome.as_str(), took);
+    shared.metrics.note_request(service, ended.outcome().as_str(), took);
     let verdict = match verdict {
         Verdict::Good if is_slow(shared, service, took) => Verdict::Slow,
         other => other,
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -124,6 +124,7 @@
     });
     Ok(match checked {
         Ok(Apply { request, note }) => {
+            log::info!(request = request.as_str(), base = note.base; "release note");
             let canonical = serde_json::to_vec(&note).expect("a note is plain data");
             let digest = settings::digest(&canonical);
             call(&req, Call::Group(GroupCall::ApplyRelease { request, note, digest })).await
@@ -143,7 +144,10 @@
 async fn submit(mut req: Req) -> tide::Result {
     let spec: Result<JobSpec, Refusal> = body::read_json(&mut req).await;
     Ok(match spec {
-        Ok(spec) => call(&req, Call::Group(GroupCall::Submit(spec))).await,
+        Ok(spec) => {
+            log::info!(job = spec.key().to_string().as_str(); "job submitted");
+            call(&req, Call::Group(GroupCall::Submit(spec))).await
+        }
         Err(e) => reply::refusal(&e),
     })
 }
@@ -162,7 +166,9 @@
 }
 
 async fn cancel(req: Req) -> tide::Result {
-    Ok(call(&req, Call::EachZone(ZoneCall::Cancel(job_key(&req)))).await)
+    let key = job_key(&req);
+    log::info!(job = key.to_string().as_str(); "job cancelled");
+    Ok(call(&req, Call::EachZone(ZoneCall::Cancel(key))).await)
 }
 
 async fn workers(req: Req) -> tide::Result {
--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -411,6 +411,8 @@
     pub release: Version,
     /// Requests that wait or are under way.
     pub open_requests: usize,
+    /// Term of the zone's group, where this host is a member.
+    pub zone_term: u64,
     /// Whether this host leads its zone.
     pub leads_zone: bool,
     /// Whether this host leads the cell's group.
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -366,6 +366,7 @@
         stats.services = self.router.service_stats();
         stats.release = self.release.current().version;
         stats.open_requests = self.router.open_requests();
+        stats.zone_term = self.groups.get(&own).map_or(0, |group| group.raft.term());
         stats.leads_zone = self.leads(&own);
         stats.leads_cell = self.leads(&GroupId::Cell);
         let services = self.release.current().services.values();
--- /dev/null
+++ b/crates/host/tests/batching.rs
@@ -0,0 +1,53 @@
+//! Many inputs share one write, which is what makes one sync of the disk carry many commands.
+
+use consensus::Role;
+use host::{
+    Call, GroupCall, GroupId, Host, HostConfigBuilder, InitialMember, Input, Output, Start,
+};
+use std::time::Duration;
+use types::{JobClass, JobSpec, Resources};
+
+fn spec(i: u64) -> JobSpec {
+    JobSpec {
+        team: "t".into(),
+        name: format!("j{i}"),
+        class: JobClass::Batch,
+        tasks: 1,
+        resources: Resources { cpu: 1, memory: 1, accelerators: 0 },
+        command: vec![],
+        run_time: None,
+        deadline: None,
+        urgent: false,
+        unrepeatable: false,
+        zone: None,
+    }
+}
+
+#[test]
+fn commands_that_come_together_are_written_together() {
+    let zone = GroupId::Zone("a".into());
+    let members = vec![InitialMember { host: "a-1".into(), role: Role::Voter }];
+    let cfg = HostConfigBuilder::new("a-1", "a").group(zone, members).build();
+    let mut host = Host::new(cfg, Start { member: 1, process: 1, ..Start::default() });
+    for second in 1..5 {
+        host.step(Duration::from_secs(second), Input::Tick);
+    }
+    let now = Duration::from_secs(5);
+    for exchange in 0..500 {
+        let call = Call::Group(GroupCall::Submit(spec(exchange)));
+        host.handle(now, Input::Call(exchange, call));
+    }
+    let outputs = host.finish(now);
+    let writes: Vec<usize> = outputs
+        .iter()
+        .filter_map(|output| match output {
+            Output::Persist(_, ready) => Some(ready.entries.len()),
+            _ => None,
+        })
+        .collect();
+    let answers = outputs.iter().filter(|o| matches!(o, Output::Answer(_, Ok(_)))).count();
+    assert_eq!((writes.iter().sum::<usize>(), writes[0], answers), (500, 500, 500));
+    // Nothing leaves before all of it is written.
+    let first_out = outputs.iter().position(|output| !output.is_durable()).unwrap();
+    assert!(outputs[first_out..].iter().all(|output| !output.is_durable()));
+}
