Split the handling of peers' messages by concern

Cause: one match of sixty lines took all of them. Ruled out: a type for each concern (the protocol would change with it). Change: host/gossip.rs, no change in behaviour. Conclusion: each handler can be read by itself.

--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -26,59 +26,81 @@
             return;
         }
         self.peers.hear(&from, self.now);
-        let now = self.now;
+        use PeerMessage as M;
         match message {
-            PeerMessage::Raft(id, envelope) => {
-                if let Some(group) = self.groups.get_mut(&id) {
-                    group.note_sender(envelope.from, &from);
-                    group.raft.step(now, envelope);
-                }
+            M::Raft(id, envelope) => self.on_raft(&from, &id, envelope),
+            M::Beat(beat) => self.on_beat(&from, beat),
+            M::Call { id, hops, call } => self.on_peer_call(from, id, hops, *call),
+            M::CallAnswer { id, answer } => self.on_call_answer(id, *answer),
+            M::Upstreams(_) | M::AllUpstreams(..) | M::PullUpstreams(_) | M::Renewals(_) => {
+                self.on_upstream_news(&from, message)
             }
-            PeerMessage::Beat(beat) => self.on_beat(&from, beat),
+            M::PullRelease(_) | M::Notes(_) | M::Release(_) => self.on_release_news(&from, message),
+            M::Blank(..) | M::Seek(..) | M::Form(..) | M::Join(_) => {
+                self.on_forming_news(&from, message)
+            }
+        }
+    }
+
+    fn on_raft(&mut self, from: &HostId, id: &GroupId, envelope: consensus::Envelope) {
+        let now = self.now;
+        if let Some(group) = self.groups.get_mut(id) {
+            group.note_sender(envelope.from, from);
+            group.raft.step(now, envelope);
+        }
+    }
+
+    fn on_upstream_news(&mut self, from: &HostId, message: PeerMessage) {
+        match message {
             PeerMessage::Upstreams(records) => {
-                let news = self.table.merge(now, records);
+                let news = self.table.merge(self.now, records);
                 self.follow_upstreams(&news);
             }
-            PeerMessage::Renewals(renewals) => self.table.merge_renewals(now, &renewals),
+            PeerMessage::AllUpstreams(number, records) => self.on_all_upstreams(number, records),
             PeerMessage::PullUpstreams(number) => {
                 let records = PeerMessage::AllUpstreams(number, self.table.records());
-                self.send(&from, records);
+                self.send(from, records);
             }
-            PeerMessage::AllUpstreams(number, records) => self.on_all_upstreams(number, records),
+            PeerMessage::Renewals(renewals) => self.table.merge_renewals(self.now, &renewals),
+            _ => {}
+        }
+    }
+
+    fn on_release_news(&mut self, from: &HostId, message: PeerMessage) {
+        let changed = match message {
             PeerMessage::PullRelease(have) => {
                 if let Some(update) = self.release.update_for(have) {
-                    self.send(&from, update);
-                }
-            }
-            PeerMessage::Notes(notes) => {
-                if self.release.apply_notes(notes) {
-                    self.release_changed();
+                    self.send(from, update);
                 }
+                false
             }
-            PeerMessage::Release(release) => {
-                if self.release.set(&release) {
-                    self.release_changed();
-                }
-            }
-            PeerMessage::Blank(id, member) => self.on_blank(&from, &id, member),
-            PeerMessage::Seek(id, member) => {
-                // Not as `Blank`: a folder that has a log never counts towards forming anew.
-                if self.groups.get(&id).is_some_and(|group| !group.knows_member(member)) {
-                    self.hear_newcomer(&from, &id, member);
-                }
+            PeerMessage::Notes(notes) => self.release.apply_notes(notes),
+            PeerMessage::Release(release) => self.release.set(&release),
+            _ => false,
+        };
+        if changed {
+            self.release_changed();
+        }
+    }
+
+    fn on_forming_news(&mut self, from: &HostId, message: PeerMessage) {
+        match message {
+            PeerMessage::Blank(id, member) => self.on_blank(from, &id, member),
+            // Not as `Blank`: a folder that has a log never counts towards forming anew.
+            PeerMessage::Seek(id, member)
+                if self.groups.get(&id).is_some_and(|group| !group.knows_member(member)) =>
+            {
+                self.hear_newcomer(from, &id, member)
             }
-            PeerMessage::Form(id, config) => {
-                if self.forming.contains_key(&id) && config.get(self.member).is_some() {
-                    self.form(&id, config);
-                }
+            PeerMessage::Form(id, config)
+                if self.forming.contains_key(&id) && config.get(self.member).is_some() =>
+            {
+                self.form(&id, config)
             }
-            PeerMessage::Join(id) => {
-                if self.forming.contains_key(&id) {
-                    self.form(&id, Config::default());
-                }
+            PeerMessage::Join(id) if self.forming.contains_key(&id) => {
+                self.form(&id, Config::default())
             }
-            PeerMessage::Call { id, hops, call } => self.on_peer_call(from, id, hops, *call),
-            PeerMessage::CallAnswer { id, answer } => self.on_call_answer(id, *answer),
+            _ => {}
         }
     }
 
