--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -8,9 +8,11 @@
 //! ```
 
 mod error;
+mod pool;
 
 pub use error::{Error, ErrorKind};
 pub use http_types::Method;
+pub use pool::{Failure, Outgoing, Pool};
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
--- a/crates/host/src/forming.rs
+++ b/crates/consensus/src/forming.rs
@@ -5,41 +5,52 @@
 //! of the group answers a blank folder in another way, so a wiped folder can't make the group anew:
 //! it joins as a new member instead.
 
-use crate::config::InitialMember;
-use consensus::{Config, Member};
+use crate::{Config, Member, Role};
 use std::time::Duration;
 use types::{HostId, MemberId, SortedMap, Timestamp};
 
 /// A blank folder must have been heard of this recently.
 const FRESH: Duration = Duration::from_secs(5);
 /// How often a blank folder says so.
-pub(crate) const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
+pub const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
+
+/// A member of a group, as settings have it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InitialMember {
+    /// The entry host.
+    pub host: HostId,
+    /// Voter or witness.
+    pub role: Role,
+}
 
 /// A group that this host should be a member of and whose folder is blank.
 #[derive(Debug)]
-pub(crate) struct Forming {
+pub struct Forming {
     members: Vec<InitialMember>,
     blanks: SortedMap<HostId, (MemberId, Timestamp)>,
-    pub(crate) next_announcement: Timestamp,
+    /// When this folder is to be announced next.
+    pub next_announcement: Timestamp,
 }
 
 impl Forming {
-    pub(crate) fn new(members: Vec<InitialMember>, now: Timestamp) -> Forming {
+    /// A folder that waits for these members.
+    pub fn new(members: Vec<InitialMember>, now: Timestamp) -> Forming {
         Forming { members, blanks: SortedMap::default(), next_announcement: now }
     }
 
-    pub(crate) fn hear_blank(&mut self, host: &HostId, member: MemberId, now: Timestamp) {
+    /// Notes that another member's folder is blank.
+    pub fn hear_blank(&mut self, host: &HostId, member: MemberId, now: Timestamp) {
         self.blanks.insert(host.clone(), (member, now));
     }
 
     /// Hosts to tell that this folder is blank.
-    pub(crate) fn others(&self, me: &HostId) -> Vec<HostId> {
+    pub fn others(&self, me: &HostId) -> Vec<HostId> {
         let others = self.members.iter().filter(|m| m.host != *me);
         others.map(|m| m.host.clone()).collect()
     }
 
     /// The members, once this host is the one to form the group and all others are blank.
-    pub(crate) fn complete(&self, me: &HostId, my_id: MemberId, now: Timestamp) -> Option<Config> {
+    pub fn complete(&self, me: &HostId, my_id: MemberId, now: Timestamp) -> Option<Config> {
         let first = self.members.iter().map(|m| &m.host).min()?;
         if first != me {
             return None;
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -24,15 +24,19 @@
 //! ```
 
 mod config;
+mod forming;
 mod log;
 mod message;
+mod newcomers;
 mod progress;
 mod raft;
 mod replication;
 mod tuning;
 
 pub use config::{Config, Member, Role};
+pub use forming::{Forming, InitialMember, ANNOUNCE_EVERY};
 pub use log::Restored;
 pub use message::{Entry, Envelope, HardState, Index, Message, Payload, Ready, Snapshot, Term};
+pub use newcomers::Newcomers;
 pub use raft::{ProposeError, Raft};
 pub use tuning::{Tuning, Weakening};
--- a/crates/host/src/repair.rs
+++ b/crates/consensus/src/newcomers.rs
@@ -1,6 +1,6 @@
 //! Bringing a host with a new data folder into a group, and its old folder out.
 
-use consensus::{Config, Index, Member, Role};
+use crate::{Config, Index, Member, Role};
 use std::time::Duration;
 use types::{HostId, MemberId, SortedMap, Timestamp};
 
@@ -11,16 +11,22 @@
 
 /// Folders that asked to join, by host.
 #[derive(Debug, Default)]
-pub(crate) struct Newcomers(SortedMap<HostId, (MemberId, Timestamp)>);
+pub struct Newcomers(SortedMap<HostId, (MemberId, Timestamp)>);
 
 impl Newcomers {
-    pub(crate) fn hear(&mut self, host: &HostId, member: MemberId, now: Timestamp) {
+    /// Hosts whose folders asked to join.
+    pub fn hosts(&self) -> Vec<HostId> {
+        self.0.keys().cloned().collect()
+    }
+
+    /// Notes that a folder asks to join.
+    pub fn hear(&mut self, host: &HostId, member: MemberId, now: Timestamp) {
         self.0.insert(host.clone(), (member, now));
     }
 
     /// The next single change that repair needs: learner in, old folder out, learner promoted.
     /// `intended` are the group's hosts with the role that settings give them.
-    pub(crate) fn next_change<F>(
+    pub fn next_change<F>(
         &self,
         config: &Config,
         intended: &[(HostId, Role)],
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -10,6 +10,8 @@
 pub(crate) enum Asked {
     /// Run with these settings.
     Run(Box<Settings>),
+    /// Run on the users' platform, whose own file has the settings.
+    OnPlatform,
     /// Print the settings in force and stop.
     Print(Box<Settings>),
     /// Help or version was printed.
@@ -40,6 +42,10 @@
                 .action(ArgAction::SetTrue)
                 .help("Print the settings in force, defaults and all, and stop"),
         )
+        .subcommand(
+            Command::new("on-platform")
+                .about("Runs one host on the users' platform, by the platform's settings file"),
+        )
 }
 
 pub(crate) fn parse<I>(args: I) -> Result<Asked, Error>
@@ -54,6 +60,9 @@
         }
         Err(e) => return Err(Error::Usage(e.to_string())),
     };
+    if matches.subcommand_name().is_some() {
+        return Ok(Asked::OnPlatform);
+    }
     let settings = Box::new(read_settings(&matches)?);
     Ok(if matches.get_flag("print-settings") {
         Asked::Print(settings)
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -34,6 +34,12 @@
             display("listen.peers: {}: {}", addr, cause)
             source(cause)
         }
+        /// The process can't run on the platform.
+        Platform(cause: platform::Error) {
+            display("{}", cause)
+            source(cause)
+            from()
+        }
         /// The operating system refused something else.
         Io(cause: io::Error) {
             display("{}", cause)
@@ -60,7 +66,7 @@
         match self {
             Error::Usage(_) | Error::Settings(_) => ErrorKind::Usage,
             Error::Storage(_) => ErrorKind::Storage,
-            Error::Listen(..) | Error::Peers(..) | Error::Io(_) => ErrorKind::Running,
+            Error::Listen(..) | Error::Peers(..) | Error::Platform(_) | Error::Io(_) => ErrorKind::Running,
         }
     }
 
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -3,7 +3,8 @@
 use super::{body, reply, Shared};
 use crate::burn::Verdict;
 use crate::exchanges::Exchange;
-use crate::upstreams::{is_hop_header, Incoming, Outgoing};
+use crate::upstreams::{is_hop_header, Incoming};
+use client::Outgoing;
 use host::{parse_class, Input, Output, ServiceRequest};
 use routing::{AttemptResult, Outcome};
 use state::StoredAnswer;
@@ -148,7 +149,7 @@
         Some(query) => format!("{path}?{query}"),
         None => path,
     };
-    let outgoing = Outgoing { method, path_and_query, headers: headers_to_send(req), body };
+    let outgoing = Outgoing { method, path: path_and_query, headers: headers_to_send(req), body };
     let request = ServiceRequest {
         service: service.clone(),
         class,
@@ -203,7 +204,7 @@
 
 /// What makes a request the same request: method, path, query and body.
 fn digest(outgoing: &Outgoing) -> String {
-    let mut bytes = format!("{} {}\n", outgoing.method, outgoing.path_and_query).into_bytes();
+    let mut bytes = format!("{} {}\n", outgoing.method, outgoing.path).into_bytes();
     bytes.extend_from_slice(&outgoing.body);
     settings::digest(&bytes)
 }
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -1,6 +1,6 @@
 //! Structured logs to standard error.
 
-use logforth::append::Stderr;
+use logforth::append::{Stderr, Stdout};
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::{JsonLayout, TextLayout};
 use settings::{LogFormat, LogSettings};
@@ -21,3 +21,11 @@
     };
     logforth::starter_log::builder().dispatch(|d| d.filter(filter).append(append)).apply();
 }
+
+/// Starts logging to standard output, a JSON object a line.
+pub(crate) fn start_on_platform() {
+    let spec = std::iter::once("info").chain(QUIET).collect::<Vec<_>>().join(",");
+    let filter = RustLogFilterBuilder::from_spec(spec).build();
+    let append = Stdout::default().with_layout(JsonLayout::default());
+    logforth::starter_log::builder().dispatch(|d| d.filter(filter).append(append)).apply();
+}
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -2,13 +2,13 @@
 
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::task;
-use host::{Input, PeerMessage};
+use host::{Input, PeerMessage, PROTOCOL_VERSION};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 use types::{HostId, SortedMap};
-use wire::PeerClient;
+use wire::{Hello, PeerClient};
 
 use crate::exchanges::EngineHandle;
 
@@ -63,7 +63,8 @@
             let spawn = |connection| {
                 task::spawn(connection);
             };
-            match wire::connect(self.addr, &self.me, spawn).await {
+            let hello = Hello { version: PROTOCOL_VERSION, host: self.me.clone() };
+            match wire::connect(self.addr, hello, spawn).await {
                 Ok(client) => {
                     log::info!(peer = self.peer.as_str(); "connected");
                     reachable = true;
@@ -89,7 +90,7 @@
                 let Ok(next) = self.rx.try_recv() else { break };
                 batch.push(next);
             }
-            if let Err(e) = client.deliver(batch).await {
+            if let Err(e) = client.deliver(&batch).await {
                 log::warn!(peer = self.peer.as_str(); "connection lost: {e}");
                 return;
             }
@@ -107,7 +108,7 @@
     let spawn = |connection| {
         task::spawn(connection);
     };
-    let (_, accept) = wire::serve(addr, Arc::new(deliver), spawn).await?;
+    let (_, accept) = wire::serve(addr, PROTOCOL_VERSION, Arc::new(deliver), spawn).await?;
     task::spawn(accept);
     Ok(())
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -33,6 +33,12 @@
 {
     match args::parse(args)? {
         Asked::Run(settings) => start(*settings),
+        Asked::OnPlatform => {
+            // Read once by the pool when its first task starts.
+            std::env::set_var("ASYNC_STD_THREAD_COUNT", "1");
+            logs::start_on_platform();
+            Ok(platform::run()?)
+        }
         Asked::Print(settings) => {
             print!("{}", settings.to_yaml());
             Ok(())
--- a/crates/daemon/tests/contracts.rs
+++ b/crates/daemon/tests/contracts.rs
@@ -114,12 +114,13 @@
         lab.start().await;
         let addr = lab.cell.hosts[0].peers_addr();
         let spawn = |connection| drop(async_std::task::spawn(connection));
-        let stranger = wire::connect(addr, &"stranger".to_string(), spawn).await.unwrap();
+        let stranger = wire::Hello { version: host::PROTOCOL_VERSION, host: "stranger".into() };
+        let stranger = wire::connect(addr, stranger, spawn).await.unwrap();
         // Messages of a host that settings do not name are dropped.
         let vote = host::PeerMessage::PullRelease(0);
-        stranger.deliver(vec![vote; 10]).await.unwrap();
+        stranger.deliver(&vec![vote; 10]).await.unwrap();
         let hello = wire::Hello { version: 99, host: "a-1".into() };
-        let refused = wire::say_hello(addr, hello, spawn).await.unwrap_err();
+        let refused = wire::connect(addr, hello, spawn).await.unwrap_err();
         assert!(refused.to_string().contains("version: 99 is not spoken here"), "{refused}");
         assert_eq!(is_ready(&lab.cell.hosts[0]).await, Some(()));
     });
--- /dev/null
+++ b/crates/dispatch/src/advice.rs
@@ -0,0 +1,226 @@
+//! Which workers may run a step, as an advice service said, and who asks it.
+
+use jobs::{AdvicePolicy, LifeId, StepRef};
+use std::time::Duration;
+use types::{HostId, SortedMap, Timestamp};
+
+/// A ticket with less than this left is renewed before it is used.
+const TICKET_RESERVE: Duration = Duration::from_millis(250);
+/// Most workers in one call.
+pub const MAX_WORKERS_PER_CALL: usize = 100;
+/// Calls shorter than this count as short; they never wait behind longer ones.
+const SHORT_CALL: Duration = Duration::from_millis(60);
+/// A call that is not answered within its time and this much more is made again elsewhere.
+const CALL_SLACK: Duration = Duration::from_millis(700);
+/// One in so many callers is kept for short calls.
+const SHORT_LANE_ONE_IN: usize = 3;
+/// A caller that failed is passed over for this long.
+const CALLER_REST: Duration = Duration::from_secs(1);
+
+/// Permission to run a step on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// The life for which it holds.
+    pub life: LifeId,
+    /// What to show; empty where it has to be asked for again.
+    pub text: String,
+    /// When it was asked for.
+    pub asked: Timestamp,
+}
+
+/// What is known about one step.
+#[derive(Clone, Debug, Default)]
+pub struct StepAdvice {
+    /// Lives that may run the step, by life.
+    good: Vec<Ticket>,
+    /// Lives that were asked about.
+    asked: Vec<LifeId>,
+    pending: bool,
+    retry_at: Timestamp,
+}
+
+impl StepAdvice {
+    /// Lives that may run the step, with whether the ticket is still good for a start.
+    pub fn good(&self, now: Timestamp, life: Duration) -> impl Iterator<Item = (LifeId, bool)> + '_ {
+        self.good.iter().map(move |ticket| {
+            let fresh = !ticket.text.is_empty() && now + TICKET_RESERVE < ticket.asked + life;
+            (ticket.life, fresh)
+        })
+    }
+
+    /// Whether a call about the step is under way.
+    pub fn is_pending(&self) -> bool {
+        self.pending
+    }
+
+    /// Whether this life was asked about.
+    pub fn knows(&self, life: LifeId) -> bool {
+        self.asked.binary_search(&life).is_ok()
+    }
+
+    /// Whether any life was asked about.
+    pub fn is_known(&self) -> bool {
+        !self.asked.is_empty()
+    }
+
+    /// The ticket for a life.
+    pub fn ticket(&self, life: LifeId) -> Option<&str> {
+        let ticket = self.good.iter().find(|ticket| ticket.life == life)?;
+        Some(&ticket.text)
+    }
+}
+
+/// A call to the advice service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdviceCall {
+    /// Its number.
+    pub number: u64,
+    /// Host that makes it.
+    pub caller: HostId,
+    /// The step.
+    pub step: StepRef,
+    /// The lives it names.
+    pub lives: Vec<LifeId>,
+    /// How long it may take.
+    pub limit: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    call: AdviceCall,
+    sent: Timestamp,
+    duration: Duration,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Caller {
+    busy_until: Timestamp,
+    rest_until: Timestamp,
+}
+
+/// What is known about all steps, and the calls that are under way.
+#[derive(Clone, Debug, Default)]
+pub struct AdviceBook {
+    steps: SortedMap<StepRef, StepAdvice>,
+    callers: SortedMap<HostId, Caller>,
+    open: SortedMap<u64, Open>,
+    last: u64,
+}
+
+impl AdviceBook {
+    /// An empty book whose calls are numbered from `base`.
+    pub fn new(base: u64) -> AdviceBook {
+        AdviceBook { last: base, ..AdviceBook::default() }
+    }
+
+    /// What is known about a step.
+    pub fn step(&self, step: StepRef) -> Option<&StepAdvice> {
+        self.steps.get(&step)
+    }
+
+    /// Forgets steps for which `f` does not hold.
+    pub fn retain<F>(&mut self, f: F)
+    where
+        F: Fn(&StepRef) -> bool,
+    {
+        self.steps.retain(|step, _| f(step));
+    }
+
+    /// Sets the hosts that can make calls.
+    pub fn set_callers(&mut self, hosts: &[HostId]) {
+        self.callers.retain(|host, _| hosts.contains(host));
+        for host in hosts {
+            self.callers.get_or_insert_with(host.clone(), Caller::default);
+        }
+    }
+
+    /// Begins a call about these lives, at the host where it is answered first. `None` while
+    /// another call about the step is under way or nobody can make one.
+    pub fn ask(
+        &mut self,
+        step: StepRef,
+        lives: Vec<LifeId>,
+        policy: &AdvicePolicy,
+        now: Timestamp,
+    ) -> Option<AdviceCall> {
+        let known = self.steps.get(&step);
+        if lives.is_empty() || known.is_some_and(|k| k.pending || now < k.retry_at) {
+            return None;
+        }
+        let mut lives = lives;
+        lives.truncate(MAX_WORKERS_PER_CALL);
+        let duration = policy.duration(lives.len());
+        let caller = self.choose_caller(duration, now)?;
+        let entry = self.callers.get_mut(&caller).expect("just chosen");
+        entry.busy_until = entry.busy_until.max(now) + duration;
+        let limit = entry.busy_until.saturating_sub(now) + CALL_SLACK;
+        self.last += 1;
+        let call = AdviceCall { number: self.last, caller, step, lives, limit };
+        self.open.insert(self.last, Open { call: call.clone(), sent: now, duration });
+        self.steps.get_or_insert_with(step, StepAdvice::default).pending = true;
+        Some(call)
+    }
+
+    /// The caller that is free first. Short calls have callers of their own, so that they never
+    /// wait for long ones.
+    fn choose_caller(&self, duration: Duration, now: Timestamp) -> Option<HostId> {
+        let short_lane = (self.callers.len() / SHORT_LANE_ONE_IN).max(1);
+        let alone = self.callers.len() < 2;
+        let lane = self.callers.iter().enumerate().filter(|(i, _)| {
+            alone || (duration <= SHORT_CALL) == (*i < short_lane)
+        });
+        let free = lane.filter(|(_, (_, caller))| now >= caller.rest_until);
+        let first = free.min_by_key(|(_, (_, caller))| caller.busy_until.max(now))?;
+        Some(first.1 .0.clone())
+    }
+
+    /// Handles the answer to a call: lives that may run the step with their tickets, or `None`
+    /// when the call failed. `life_of` gives the life that a worker's name had in the call.
+    pub fn answered(&mut self, number: u64, good: Option<Vec<(LifeId, String)>>, now: Timestamp) {
+        let Some(Open { call, sent, duration }) = self.open.remove(&number) else { return };
+        let caller = self.callers.get_mut(&call.caller);
+        let Some(step) = self.steps.get_mut(&call.step) else { return };
+        step.pending = false;
+        let Some(good) = good else {
+            step.retry_at = now + Duration::from_millis(100);
+            if let Some(caller) = caller {
+                caller.rest_until = now + CALLER_REST;
+            }
+            return;
+        };
+        // It can't have answered before it began, and it answers as it ends.
+        let asked = now.max(sent + duration) - (now - sent).min(Duration::from_millis(20));
+        let asked = asked.min(now);
+        for life in &call.lives {
+            if let Err(i) = step.asked.binary_search(life) {
+                step.asked.insert(i, *life);
+            }
+        }
+        step.good.retain(|ticket| !call.lives.contains(&ticket.life));
+        step.good.extend(good.into_iter().map(|(life, text)| Ticket { life, text, asked }));
+        step.good.sort_unstable_by_key(|ticket| ticket.life);
+    }
+
+    /// A ticket was refused: it has to be asked for again.
+    pub fn forget_ticket(&mut self, step: StepRef, life: LifeId) {
+        if let Some(step) = self.steps.get_mut(&step) {
+            for ticket in step.good.iter_mut().filter(|ticket| ticket.life == life) {
+                ticket.text.clear();
+            }
+        }
+    }
+
+    /// Gives up calls that have taken too long.
+    pub fn expire(&mut self, now: Timestamp) {
+        let late = self.open.iter().filter(|(_, open)| now >= open.sent + open.call.limit);
+        let late: Vec<u64> = late.map(|(number, _)| *number).collect();
+        for number in late {
+            self.answered(number, None, now);
+        }
+    }
+
+    /// When [`AdviceBook::expire`] is due.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        self.open.values().map(|open| open.sent + open.call.limit).min()
+    }
+}
--- a/crates/host/src/config.rs
+++ b/crates/host/src/config.rs
@@ -1,7 +1,7 @@
 //! What an entry host is built from.
 
 use crate::message::GroupId;
-use consensus::{Restored, Role, Tuning};
+use consensus::{InitialMember, Restored, Tuning};
 use placement::Policy;
 use std::time::Duration;
 use types::{HostId, MemberId, Release, SortedMap, Timestamp, ZoneName};
@@ -36,15 +36,6 @@
     Routing(routing::Weakening),
 }
 
-/// A member of a group, as settings have it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct InitialMember {
-    /// The entry host.
-    pub host: HostId,
-    /// Voter or witness.
-    pub role: Role,
-}
-
 /// A peer entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
--- a/crates/host/src/duties.rs
+++ b/crates/host/src/duties.rs
@@ -224,7 +224,7 @@
 }
 
 impl Group {
-    /// Answers a folder that knows nothing of the group; see [`crate::forming`].
+    /// Answers a folder that knows nothing of the group; see [`consensus::Forming`].
     pub(crate) fn knows_member(&self, member: types::MemberId) -> bool {
         self.raft.config().get(member).is_some()
     }
--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -1,11 +1,10 @@
 //! What entry hosts tell each other unasked: how they stand, upstreams, shares, blank folders.
 
 use crate::call::{Answer, GroupCall};
-use crate::forming::ANNOUNCE_EVERY;
 use crate::host::Host;
 use crate::message::{Beat, GroupId, PeerMessage};
 use crate::origin::Origin;
-use consensus::Config;
+use consensus::{Config, ANNOUNCE_EVERY};
 use membership::{Announcement, Record, Status};
 use routing::{base_share, UpstreamInfo};
 use std::time::Duration;
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -5,7 +5,6 @@
 };
 use crate::calls::{Gather, HandedOn, Retry};
 use crate::config::{HostConfig, Start, Weakening};
-use crate::forming::Forming;
 use crate::group::Group;
 use crate::io::{Input, Output};
 use crate::message::{GroupId, PeerMessage};
@@ -13,8 +12,7 @@
 use crate::peers::Peers;
 use crate::proxy::{Finishing, Keyed};
 use crate::release::ReleaseStore;
-use crate::repair::Newcomers;
-use consensus::{Config, Raft, Restored};
+use consensus::{Config, Forming, Newcomers, Raft, Restored};
 use membership::Table;
 use routing::{Router, RouterBuilder};
 use std::time::Duration;
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -29,7 +29,6 @@
 mod config;
 mod drive;
 mod duties;
-mod forming;
 mod gossip;
 mod group;
 mod heartbeat;
@@ -44,15 +43,16 @@
 mod pressure;
 mod proxy;
 mod release;
-mod repair;
 mod views;
 
+pub use consensus::InitialMember;
+
 pub use call::{
     Answer, Call, GroupCall, GroupStatus, Heartbeat, HostStats, HostStatus, JobInfo, MemberStatus,
     Orders, PeerStatus, Preview, RunInfo, RunUsage, StartRun, UpstreamLine, WorkerInfo, ZoneAnswer,
     ZoneCall,
 };
-pub use config::{HostConfig, HostConfigBuilder, InitialMember, Peer, Start, Weakening};
+pub use config::{HostConfig, HostConfigBuilder, Peer, Start, Weakening};
 pub use home::{home_of_job, home_of_key, part_of_zone};
 pub use host::Host;
 pub use io::{Input, Output, ServiceRequest};
--- /dev/null
+++ b/crates/jobs/src/state.rs
@@ -0,0 +1,427 @@
+//! The state and how commands change it.
+
+use crate::command::{Command, Effect, Reply};
+use crate::configuration::{Configuration, QueueAddress, QueuePolicy};
+use crate::job::{Job, Occurrence, Phase, Progress};
+use crate::life::{Life, Run, WorkerInfo};
+use crate::model::{
+    End, EndKind, JobRequest, LifeId, Placement, QueueId, RunNumber, StepRef, TaskRef,
+};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use types::{JobId, SortedMap, Timestamp};
+
+/// A queue that was ever configured.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Queue {
+    address: QueueAddress,
+    /// The latest policy; jobs of a queue that was taken out keep it.
+    policy: QueuePolicy,
+    /// It takes new jobs.
+    open: bool,
+}
+
+/// Everything that is replicated.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    configuration: Arc<Configuration>,
+    queues: Vec<Queue>,
+    jobs: SortedMap<JobId, Box<Job>>,
+    lives: SortedMap<LifeId, Box<Life>>,
+    last_life: LifeId,
+}
+
+impl State {
+    /// The configuration in force.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
+    /// A job, also one that is over and not yet forgotten.
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id).map(|job| &**job)
+    }
+
+    /// All jobs by id.
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().map(|job| &**job)
+    }
+
+    /// A life that is not over.
+    pub fn life(&self, id: LifeId) -> Option<&Life> {
+        self.lives.get(&id).map(|life| &**life)
+    }
+
+    /// All lives that are not over.
+    pub fn lives(&self) -> impl Iterator<Item = &Life> {
+        self.lives.values().map(|life| &**life)
+    }
+
+    /// The life with this name and beginning.
+    pub fn find_life(&self, worker: &str, born: u64) -> Option<&Life> {
+        self.lives().find(|life| life.info.worker == worker && life.info.born == born)
+    }
+
+    /// The latest policy of a queue.
+    pub fn policy(&self, queue: QueueId) -> &QueuePolicy {
+        &self.queues[queue as usize].policy
+    }
+
+    /// Where callers find a queue.
+    pub fn address(&self, queue: QueueId) -> &QueueAddress {
+        &self.queues[queue as usize].address
+    }
+
+    /// The queue at an address that takes new jobs.
+    pub fn open_queue(&self, address: &QueueAddress) -> Option<QueueId> {
+        let i = self.queues.iter().position(|queue| queue.open && queue.address == *address)?;
+        QueueId::try_from(i).ok()
+    }
+
+    /// Jobs of the queue for which no task has been placed.
+    pub fn count_queued(&self, queue: QueueId) -> usize {
+        self.jobs().filter(|job| job.queue == queue && job.phase == Phase::Queued).count()
+    }
+
+    /// What the caller of `id` asked for in the step.
+    pub fn spec(&self, step: StepRef) -> Option<&crate::StepSpec> {
+        let request = self.jobs.get(&step.job)?.request.as_ref()?;
+        request.steps.get(usize::from(step.step))
+    }
+
+    /// Applies a command; the effects come in the order in which they happened.
+    pub fn apply(&mut self, command: Command) -> (Reply, Vec<Effect>) {
+        let mut effects = Vec::new();
+        let reply = match command {
+            Command::Configure { configuration } => self.configure(*configuration, &mut effects),
+            Command::Submit { id, queue, request, at } => {
+                self.submit(id, &queue, *request, at, &mut effects)
+            }
+            Command::Cancel { id, at } => self.cancel(id, at, &mut effects),
+            Command::Open { id, upto } => self.open(id, upto, &mut effects),
+            Command::Place { placements } => {
+                for placement in placements {
+                    self.place(&placement, &mut effects);
+                }
+                Reply::Done
+            }
+            Command::Ended { life, ends, at } => {
+                for end in ends {
+                    self.ended(life, end, at, &mut effects);
+                }
+                if let Some(life) = self.life(life) {
+                    effects.push(Effect::Noted { life: life.id, upto: life.last_seen });
+                }
+                Reply::Done
+            }
+            Command::Lost { life, runs } => {
+                for (task, run) in runs {
+                    self.lost(life, task, run, &mut effects);
+                }
+                Reply::Done
+            }
+            Command::Worker { info } => self.worker(info, &mut effects),
+            Command::LifeOver { life } => {
+                self.life_over(life, &mut effects);
+                Reply::Done
+            }
+            Command::Trim { before } => {
+                self.jobs.retain(|_, job| job.ended.is_none_or(|ended| ended >= before));
+                Reply::Done
+            }
+        };
+        (reply, effects)
+    }
+
+    fn configure(&mut self, configuration: Configuration, effects: &mut Vec<Effect>) -> Reply {
+        if configuration.version > self.configuration.version {
+            for queue in &mut self.queues {
+                queue.open = false;
+            }
+            for (address, policy) in &configuration.queues {
+                let (address, policy) = (address.clone(), policy.clone());
+                let queue = Queue { address, policy, open: true };
+                match self.queues.iter_mut().find(|known| known.address == queue.address) {
+                    Some(known) => *known = queue,
+                    None => self.queues.push(queue),
+                }
+            }
+            self.configuration = Arc::new(configuration);
+            effects.push(Effect::Configured);
+        }
+        Reply::InForce(self.configuration.version)
+    }
+
+    fn submit(
+        &mut self,
+        id: JobId,
+        queue: &QueueAddress,
+        request: JobRequest,
+        at: Timestamp,
+        effects: &mut Vec<Effect>,
+    ) -> Reply {
+        if self.jobs.contains_key(&id) {
+            return Reply::Done;
+        }
+        let Some(queue) = self.open_queue(queue) else { return Reply::NotFound };
+        let scheduled = request.schedule.is_some();
+        let job = Job::new(id, queue, request, at);
+        self.jobs.insert(id, Box::new(job));
+        effects.push(Effect::Accepted(id));
+        if !scheduled {
+            self.open(id, 1, effects);
+        }
+        Reply::Done
+    }
+
+    fn open(&mut self, id: JobId, upto: u32, effects: &mut Vec<Effect>) -> Reply {
+        let Some(job) = self.jobs.get_mut(&id) else { return Reply::NotFound };
+        let Some(request) = job.request.clone().filter(|_| !job.phase.is_over()) else {
+            return Reply::Done;
+        };
+        while job.opened < upto.min(job.times()) {
+            let occurrence = job.opened;
+            job.opened += 1;
+            job.occurrences.insert(occurrence, Occurrence::new(&request));
+            let ready = job.steps_ready().filter(|step| step.occurrence == occurrence);
+            effects.extend(ready.map(Effect::Ready));
+        }
+        Reply::Done
+    }
+
+    fn cancel(&mut self, id: JobId, at: Timestamp, effects: &mut Vec<Effect>) -> Reply {
+        let Some(job) = self.jobs.get_mut(&id) else { return Reply::NotFound };
+        if !job.phase.is_over() {
+            end_job(job, Phase::Cancelled, at, effects);
+        }
+        Reply::Done
+    }
+
+    /// Places tasks that may still be placed; a gang as a whole or not at all.
+    fn place(&mut self, placement: &Placement, effects: &mut Vec<Effect>) {
+        let Placement { step, tasks } = placement;
+        let Some(job) = self.jobs.get(&step.job).filter(|job| job.is_ready(*step)) else { return };
+        let (Some(request), Some(state)) = (&job.request, job.step(*step)) else { return };
+        let spec = &request.steps[usize::from(step.step)];
+        let (need, gang, most) = (spec.charge(), spec.gang, spec.max_per_worker);
+        let service = self.policy(job.queue).service.clone();
+        let waits = |index: &u32| {
+            state.tasks.get(*index as usize).is_some_and(|t| t.progress == Progress::Waiting)
+        };
+        let mut good: Vec<(u32, LifeId)> =
+            tasks.iter().filter(|(index, _)| waits(index)).copied().collect();
+        good.sort_unstable();
+        good.dedup_by_key(|(index, _)| *index);
+        let gang_run = state.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
+        let mut taken: Vec<(u32, LifeId)> = Vec::with_capacity(good.len());
+        for (index, id) in &good {
+            let Some(life) = self.lives.get_mut(id) else { continue };
+            let there = life.runs.iter().filter(|run| run.task.step == *step).count();
+            let fits = need.fits_in(&life.free()) && !life.info.draining;
+            let spread = most == 0 || there < most as usize;
+            if fits && spread && life.info.service == service {
+                let task = TaskRef { step: *step, index: *index };
+                life.runs.push(Run { task, run: 0, need });
+                taken.push((*index, *id));
+            }
+        }
+        let whole = !gang || taken.len() == state.tasks.len();
+        let job = self.jobs.get_mut(&step.job).expect("found above");
+        for (index, id) in taken {
+            let task_ref = TaskRef { step: *step, index };
+            let life = self.lives.get_mut(&id).expect("found above");
+            if !whole {
+                life.remove(task_ref, 0);
+                continue;
+            }
+            job.phase = Phase::Running;
+            let task = &mut job.step_mut(*step).expect("found above").tasks[index as usize];
+            task.run = if gang { gang_run } else { task.run + 1 };
+            task.progress = Progress::Placed(id);
+            let run = task.run;
+            let placed = life.runs.iter_mut().find(|r| r.task == task_ref && r.run == 0);
+            placed.expect("pushed above").run = run;
+            effects.push(Effect::Placed { life: id, task: task_ref, run });
+        }
+    }
+
+    fn ended(&mut self, id: LifeId, end: End, at: Timestamp, effects: &mut Vec<Effect>) {
+        let Some(life) = self.lives.get_mut(&id) else { return };
+        if end.number <= life.last_seen {
+            return;
+        }
+        life.last_seen = end.number;
+        let End { task, run, kind, saved, .. } = end;
+        if life.remove(task, run) {
+            effects.push(Effect::Freed { life: id, task, run, kind: Some(kind) });
+        }
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if job.phase.is_over() {
+            return;
+        }
+        let attempts = self.queues[job.queue as usize].policy.attempts.max(1);
+        let Some(request) = job.request.clone() else { return };
+        let Some(spec) = request.steps.get(usize::from(task.step.step)) else { return };
+        if kind == EndKind::Done && !spec.long_running {
+            self.task_done(task, spec.gang, id, run, at, effects);
+            return;
+        }
+        let Some(step) = job.step_mut(task.step) else { return };
+        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        if state.progress != Progress::Placed(id) || state.run != run {
+            return;
+        }
+        state.progress = Progress::Waiting;
+        if saved.is_some() {
+            state.saved.clone_from(&saved);
+        }
+        let mut failures = state.failures;
+        if kind == EndKind::Failed {
+            state.failures += 1;
+            failures = state.failures;
+        }
+        if spec.gang {
+            if let Some(saved) = saved {
+                for member in &mut step.tasks {
+                    member.saved = Some(saved.clone());
+                }
+            }
+            if kind == EndKind::Failed {
+                // Several members may fail in one run; the gang has failed once.
+                if run > step.failed_run {
+                    step.failed_run = run;
+                    step.gang_failures += 1;
+                }
+                failures = step.gang_failures;
+            }
+            effects.push(Effect::GangBroken(task.step));
+        }
+        if kind == EndKind::Failed && failures >= attempts && !spec.long_running {
+            end_job(job, Phase::Failed, at, effects);
+        } else if job.is_ready(task.step) {
+            effects.push(Effect::Ready(task.step));
+        }
+    }
+
+    /// Marks a task, or with it its whole gang, as done.
+    fn task_done(
+        &mut self,
+        task: TaskRef,
+        gang: bool,
+        life: LifeId,
+        run: RunNumber,
+        at: Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(step) = job.step_mut(task.step) else { return };
+        for (index, member) in step.tasks.iter_mut().enumerate() {
+            let index = index as u32;
+            if member.progress == Progress::Done || (!gang && index != task.index) {
+                continue;
+            }
+            if let Progress::Placed(there) = member.progress {
+                // The members of this run end together; any other run is not needed any more.
+                let same = there == life && member.run == run && index == task.index;
+                if !same && !(gang && member.run == run) {
+                    let task = TaskRef { step: task.step, index };
+                    effects.push(Effect::Superseded { life: there, task, run: member.run });
+                }
+            }
+            member.progress = Progress::Done;
+            member.saved = None;
+            step.done += 1;
+        }
+        if !step.is_done() {
+            return;
+        }
+        let occurrence = task.step.occurrence;
+        if job.occurrences.get(&occurrence).is_some_and(Occurrence::is_done) {
+            job.occurrences.remove(&occurrence);
+            job.finished += 1;
+            if job.finished >= job.times() {
+                end_job(job, Phase::Complete, at, effects);
+            }
+            return;
+        }
+        let ready = job.steps_ready().filter(|step| step.occurrence == occurrence);
+        effects.extend(ready.map(Effect::Ready));
+    }
+
+    fn lost(&mut self, id: LifeId, task: TaskRef, run: RunNumber, effects: &mut Vec<Effect>) {
+        if let Some(life) = self.lives.get_mut(&id) {
+            if life.remove(task, run) {
+                effects.push(Effect::Freed { life: id, task, run, kind: None });
+            }
+        }
+        self.wait_again(id, task, run, effects);
+    }
+
+    /// The task waits for another place, if this run of it was the latest.
+    fn wait_again(&mut self, id: LifeId, task: TaskRef, run: RunNumber, effects: &mut Vec<Effect>) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if job.phase.is_over() {
+            return;
+        }
+        let gang = job.request.as_ref().is_some_and(|request| {
+            request.steps.get(usize::from(task.step.step)).is_some_and(|spec| spec.gang)
+        });
+        let Some(step) = job.step_mut(task.step) else { return };
+        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        if state.progress != Progress::Placed(id) || state.run != run {
+            return;
+        }
+        state.progress = Progress::Waiting;
+        if gang {
+            effects.push(Effect::GangBroken(task.step));
+        }
+        if job.is_ready(task.step) {
+            effects.push(Effect::Ready(task.step));
+        }
+    }
+
+    /// A life that is new ends every earlier one of the same name or at the same address.
+    fn worker(&mut self, info: WorkerInfo, effects: &mut Vec<Effect>) -> Reply {
+        let same_place = |life: &Life| {
+            life.info.worker == info.worker || life.info.addr == info.addr
+        };
+        if self.lives().any(|life| same_place(life) && life.info.born > info.born) {
+            return Reply::Done;
+        }
+        let known = self.find_life(&info.worker, info.born).map(|life| life.id);
+        if let Some(id) = known {
+            let life = self.lives.get_mut(&id).expect("found above");
+            // Nobody comes back from leaving, so a late heartbeat can't undo it.
+            let draining = life.info.draining || info.draining;
+            life.info = WorkerInfo { draining, ..info };
+            effects.push(Effect::LifeChanged(id));
+            return Reply::Done;
+        }
+        let earlier: Vec<LifeId> =
+            self.lives().filter(|life| same_place(life)).map(|life| life.id).collect();
+        for id in earlier {
+            self.life_over(id, effects);
+        }
+        self.last_life += 1;
+        let id = self.last_life;
+        self.lives.insert(id, Box::new(Life { id, info, last_seen: 0, runs: Vec::new() }));
+        effects.push(Effect::LifeChanged(id));
+        Reply::Done
+    }
+
+    fn life_over(&mut self, id: LifeId, effects: &mut Vec<Effect>) {
+        let Some(life) = self.lives.remove(&id) else { return };
+        effects.push(Effect::LifeOver(id));
+        for Run { task, run, .. } in life.runs {
+            self.wait_again(id, task, run, effects);
+        }
+    }
+}
+
+fn end_job(job: &mut Job, phase: Phase, at: Timestamp, effects: &mut Vec<Effect>) {
+    job.phase = phase;
+    job.ended = Some(at);
+    job.request = None;
+    job.occurrences = SortedMap::default();
+    effects.push(Effect::JobOver(job.id));
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,20 @@
+//! The process around a [`scheduler::Node`]: it keeps time, writes to the disk, and carries
+//! messages between hosts. What speaks to callers, workers and operators is handed in as
+//! [`Carriers`].
+//!
+//! One thread, the engine, owns the node and its data folder. A disk that fails does not end the
+//! process: the host goes on without its membership in the group and opens the folder again.
+
+mod clock;
+mod disk;
+mod engine;
+mod error;
+mod handle;
+mod links;
+mod signals;
+
+pub use clock::Clock;
+pub use engine::{start, Carriers, Running, Setup};
+pub use error::Error;
+pub use handle::{Handle, Shared};
+pub use signals::{watch_signals, Signal};
--- /dev/null
+++ b/crates/scheduler/src/duties.rs
@@ -0,0 +1,242 @@
+//! What the leader does by itself: orders to workers, due occurrences, lives that are gone.
+
+use crate::group::Then;
+use crate::io::{OrderDetails, Output};
+use crate::leader::OpenOrder;
+use crate::message::PeerMessage;
+use crate::node::Node;
+use dispatch::{Fact, Order, OrderAnswer};
+use jobs::{Command, LifeId, StepRef};
+use std::time::Duration;
+use types::{HostId, WorkerId};
+
+/// How often the leader looks at what nobody reports.
+const CHECK_EVERY: Duration = Duration::from_millis(100);
+/// How often old jobs are forgotten.
+const TRIM_EVERY: Duration = Duration::from_secs(60);
+/// A worker that runs nothing and was silent for this long is taken for gone.
+const GONE_AFTER: Duration = Duration::from_secs(15);
+/// Longest wait for the answer to an order, beyond the time that the order itself may take.
+const ANSWER_WITHIN: Duration = Duration::from_millis(800);
+
+impl Node {
+    pub(crate) fn do_duties(&mut self) {
+        if !self.leads() {
+            return;
+        }
+        self.repair();
+        self.check();
+        self.collect_facts();
+        self.give_orders();
+        self.plan_if_due();
+    }
+
+    fn check(&mut self) {
+        let (now, wall) = (self.now, self.wall);
+        let Some(group) = &mut self.group else { return };
+        let Some(leader) = &mut group.leader else { return };
+        if now < leader.next_check {
+            return;
+        }
+        leader.next_check = now + CHECK_EVERY;
+        let mut commands = Vec::new();
+        for id in &leader.scheduled {
+            let Some(job) = group.state.job(*id) else { continue };
+            let schedule = job.request.as_ref().and_then(|request| request.schedule);
+            let Some(schedule) = schedule.filter(|s| wall >= s.first) else { continue };
+            let since = (wall - schedule.first).as_millis();
+            let due = since / schedule.interval.as_millis().max(1) + 1;
+            let due = u32::try_from(due).unwrap_or(u32::MAX).min(schedule.times);
+            if due > job.opened {
+                commands.push(Command::Open { id: *id, upto: due });
+            }
+        }
+        for life in group.state.lives().filter(|life| life.runs.is_empty()) {
+            let heard = leader.beats.get(&life.id).copied().unwrap_or(now);
+            let answers = leader.sessions.get(&life.id).is_some_and(|s| s.is_usable(now));
+            if now >= heard + GONE_AFTER && !answers {
+                log::warn!(worker = life.info.worker.as_str(), life = life.id;
+                    "a worker is gone: no heartbeat and no answer");
+                commands.push(Command::LifeOver { life: life.id });
+            }
+        }
+        if now >= leader.next_trim {
+            leader.next_trim = now + TRIM_EVERY;
+            commands.push(Command::Trim { before: now.saturating_sub(self.cfg.keep_ended) });
+        }
+        for command in commands {
+            self.propose(&command, Then::Nothing);
+        }
+    }
+
+    /// Writes into the log what sessions found out.
+    fn collect_facts(&mut self) {
+        let now = self.now;
+        let Some(leader) = self.leader_mut() else { return };
+        let mut facts: Vec<(LifeId, Fact)> = Vec::new();
+        for session in leader.sessions.values_mut() {
+            let life = session.life();
+            facts.extend(session.take_facts().into_iter().map(|fact| (life, fact)));
+        }
+        for (life, fact) in facts {
+            let command = match fact {
+                Fact::Ended(ends) => Command::Ended { life, ends, at: now },
+                Fact::Lost(runs) => {
+                    log::warn!(life = life, runs = runs.len(); "runs are given up without an end");
+                    Command::Lost { life, runs }
+                }
+                Fact::LifeOver => {
+                    log::warn!(life = life; "another life has the worker's place");
+                    Command::LifeOver { life }
+                }
+                Fact::TicketRefused(task) => {
+                    log::info!(life = life, job = task.step.job; "a ticket was refused");
+                    if let Some(leader) = self.leader_mut() {
+                        leader.advice.forget_ticket(task.step, life);
+                    }
+                    continue;
+                }
+                Fact::Deposed => {
+                    log::warn!(life = life; "a worker obeys a later leader");
+                    continue;
+                }
+            };
+            if !self.propose(&command, Then::Nothing) {
+                let session = self.leader_mut().and_then(|l| l.sessions.get_mut(&life));
+                if let Some(session) = session {
+                    session.forget_reports(now);
+                }
+            }
+        }
+    }
+
+    fn give_orders(&mut self) {
+        let now = self.now;
+        let Some(group) = &mut self.group else { return };
+        let Some(leader) = &mut group.leader else { return };
+        let mut orders: Vec<(LifeId, dispatch::OrderId, Order)> = Vec::new();
+        for session in leader.sessions.values_mut() {
+            if session.next_wakeup().is_some_and(|at| now >= at) {
+                let life = session.life();
+                let due = session.poll(now).into_iter();
+                orders.extend(due.map(|(id, order)| (life, id, order)));
+            }
+        }
+        for (life, id, order) in orders {
+            leader.last_order += 1;
+            let number = leader.last_order;
+            leader.orders.insert(number, OpenOrder { life, order: id, sent: now });
+            let details = order_details(&group.state, leader, life, order);
+            if let Some(details) = details {
+                self.out.push(Output::Order(number, Box::new(details)));
+            }
+        }
+    }
+
+    pub(crate) fn on_ordered(&mut self, number: u64, answer: OrderAnswer) {
+        let now = self.now;
+        let Some(leader) = self.leader_mut() else { return };
+        let Some(OpenOrder { life, order, sent }) = leader.orders.remove(&number) else { return };
+        if let Some(session) = leader.sessions.get_mut(&life) {
+            let before = session.is_usable(now);
+            session.answered(order, sent, answer, now);
+            if !before && session.is_usable(now) {
+                leader.plan_due = true;
+            }
+        }
+    }
+
+    /// Another host asks this one to make a call.
+    pub(crate) fn on_advise(
+        &mut self,
+        from: HostId,
+        number: u64,
+        step: StepRef,
+        workers: Vec<WorkerId>,
+        limit: Duration,
+    ) {
+        self.last_advice += 1;
+        let own = self.last_advice;
+        self.advice_for.insert(own, (from, number));
+        self.out.push(Output::Advise { number: own, step, workers, limit });
+    }
+
+    /// The advice service has answered this host.
+    pub(crate) fn on_own_advice(&mut self, own: u64, good: Option<Vec<(WorkerId, String)>>) {
+        let Some((host, number)) = self.advice_for.remove(&own) else { return };
+        if host == self.cfg.host {
+            self.on_advised(number, good);
+        } else {
+            self.send(&host, PeerMessage::Advised { number, good });
+        }
+    }
+
+    pub(crate) fn on_advised(&mut self, number: u64, good: Option<Vec<(WorkerId, String)>>) {
+        let now = self.now;
+        let Some(group) = &mut self.group else { return };
+        let Some(leader) = &mut group.leader else { return };
+        let Some(lives) = leader.asked.remove(&number) else { return };
+        let state = &group.state;
+        let good = good.map(|rows| {
+            let name = |id: &LifeId| state.life(*id).map(|life| life.info.worker.as_str());
+            let found = rows.into_iter().filter_map(|(worker, ticket)| {
+                let life = lives.iter().find(|id| name(id) == Some(worker.as_str()))?;
+                Some((*life, ticket))
+            });
+            found.collect()
+        });
+        leader.advice.answered(number, good, now);
+        leader.plan_due = true;
+    }
+
+    pub(crate) fn ask_advice(&mut self, call: dispatch::AdviceCall) {
+        let Some(group) = &mut self.group else { return };
+        let Some(leader) = &mut group.leader else { return };
+        let name = |id: &LifeId| group.state.life(*id).map(|life| life.info.worker.clone());
+        let workers: Vec<WorkerId> = call.lives.iter().filter_map(name).collect();
+        leader.asked.insert(call.number, call.lives);
+        self.stats.advice_calls += 1;
+        let (number, step, limit) = (call.number, call.step, call.limit);
+        if call.caller == self.cfg.host {
+            self.on_advise(call.caller, number, step, workers, limit);
+        } else {
+            let message = PeerMessage::Advise { number, step, workers, limit };
+            self.send(&call.caller, message);
+        }
+    }
+}
+
+fn order_details(
+    state: &jobs::State,
+    leader: &crate::leader::Leader,
+    life: LifeId,
+    order: Order,
+) -> Option<OrderDetails> {
+    let info = &state.life(life)?.info;
+    let mut limit = ANSWER_WITHIN;
+    let (mut request, mut saved, mut ticket) = (None, None, None);
+    match &order {
+        Order::Hold { wait, .. } => limit += *wait,
+        Order::Stop { .. } => {}
+        Order::Start { task, .. } => {
+            let job = state.job(task.step.job)?;
+            request = job.request.clone();
+            let found = job.step(task.step)?.tasks.get(task.index as usize)?;
+            saved = found.saved.clone();
+            let advice = leader.advice.step(task.step);
+            ticket = advice.and_then(|advice| advice.ticket(life)).map(str::to_string);
+        }
+    }
+    Some(OrderDetails {
+        worker: info.worker.clone(),
+        addr: info.addr.clone(),
+        born: info.born,
+        order,
+        fence: leader.term,
+        request,
+        saved,
+        ticket,
+        limit,
+    })
+}
+
--- /dev/null
+++ b/crates/scheduler/src/leader.rs
@@ -0,0 +1,219 @@
+//! What only the leader keeps: sessions with workers, advice, the steps that wait.
+
+use crate::config::NodeConfig;
+use crate::node::NodeStats;
+use consensus::Term;
+use dispatch::{AdviceBook, OrderId, Session};
+use jobs::{Effect, EndKind, LifeId, State, StepRef};
+use std::time::Duration;
+use types::{JobId, SortedMap, Timestamp};
+
+/// Least time between two placement passes.
+pub(crate) const PLAN_EVERY: Duration = Duration::from_millis(5);
+/// A pass comes at the latest after this time while something waits.
+pub(crate) const PLAN_AT_LEAST: Duration = Duration::from_millis(200);
+/// Numbers of orders and advice calls of one term start at a multiple of this.
+const NUMBERS_PER_TERM: u64 = 1 << 32;
+
+/// An order that waits for its answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OpenOrder {
+    pub(crate) life: LifeId,
+    pub(crate) order: OrderId,
+    pub(crate) sent: Timestamp,
+}
+
+/// What only the leader keeps.
+#[derive(Debug)]
+pub(crate) struct Leader {
+    pub(crate) term: Term,
+    pub(crate) sessions: SortedMap<LifeId, Box<Session>>,
+    pub(crate) orders: SortedMap<u64, OpenOrder>,
+    pub(crate) last_order: u64,
+    pub(crate) advice: AdviceBook,
+    /// Lives named in calls to the advice service that are under way.
+    pub(crate) asked: SortedMap<u64, Vec<LifeId>>,
+    /// Steps with tasks that wait for a place, sorted.
+    pub(crate) ready: Vec<StepRef>,
+    /// Placements are on their way through the log.
+    pub(crate) placing: bool,
+    pub(crate) plan_due: bool,
+    pub(crate) next_plan: Timestamp,
+    pub(crate) next_check: Timestamp,
+    pub(crate) next_trim: Timestamp,
+    pub(crate) scheduled: Vec<JobId>,
+    /// When each life last sent a heartbeat to this leader, or it took over.
+    pub(crate) beats: SortedMap<LifeId, Timestamp>,
+}
+
+impl Leader {
+    pub(crate) fn new(term: Term, state: &State, cfg: &NodeConfig, now: Timestamp) -> Leader {
+        let base = term * NUMBERS_PER_TERM;
+        let mut leader = Leader {
+            term,
+            sessions: SortedMap::default(),
+            orders: SortedMap::default(),
+            last_order: base,
+            advice: AdviceBook::new(base),
+            asked: SortedMap::default(),
+            ready: Vec::new(),
+            placing: false,
+            plan_due: true,
+            next_plan: now,
+            next_check: now,
+            next_trim: now + Duration::from_secs(60),
+            scheduled: Vec::new(),
+            beats: SortedMap::default(),
+        };
+        for life in state.lives() {
+            leader.begin_session(state, life.id, cfg, now);
+        }
+        for job in state.jobs().filter(|job| !job.phase.is_over()) {
+            leader.ready.extend(job.steps_ready());
+            if job.request.as_ref().is_some_and(|request| request.schedule.is_some()) {
+                leader.scheduled.push(job.id);
+            }
+        }
+        leader.ready.sort_unstable();
+        leader
+    }
+
+    fn begin_session(&mut self, state: &State, id: LifeId, cfg: &NodeConfig, now: Timestamp) {
+        let Some(life) = state.life(id) else { return };
+        let mut session = Session::new(id, cfg.session.clone(), life.last_seen, now);
+        for run in &life.runs {
+            session.add_run(run.task, run.run, now);
+            let over = state.job(run.task.step.job).is_none_or(|job| job.phase.is_over());
+            if over {
+                session.stop_run(run.task, run.run, now);
+            }
+        }
+        self.sessions.insert(id, Box::new(session));
+        self.beats.insert(id, now);
+    }
+
+    pub(crate) fn hear_beat(&mut self, life: LifeId, clock: Option<u64>, now: Timestamp) {
+        self.beats.insert(life, now);
+        if let (Some(session), Some(clock)) = (self.sessions.get_mut(&life), clock) {
+            session.hear_clock(clock, now);
+        }
+    }
+
+    /// Workers that take new work.
+    pub(crate) fn usable(&self, now: Timestamp) -> usize {
+        self.sessions.values().filter(|session| session.is_usable(now)).count()
+    }
+
+    /// Follows what a command brought about.
+    pub(crate) fn follow(
+        &mut self,
+        state: &State,
+        effects: &[Effect],
+        cfg: &NodeConfig,
+        stats: &mut NodeStats,
+        now: Timestamp,
+    ) {
+        for effect in effects {
+            match *effect {
+                Effect::Configured => self.plan_due = true,
+                Effect::Accepted(id) => self.accepted(state, id, stats),
+                Effect::Ready(step) => {
+                    if let Err(i) = self.ready.binary_search(&step) {
+                        self.ready.insert(i, step);
+                    }
+                    self.plan_due = true;
+                }
+                Effect::Placed { life, task, run } => {
+                    stats.starts += 1;
+                    if let Some(session) = self.sessions.get_mut(&life) {
+                        session.add_run(task, run, now);
+                    }
+                }
+                Effect::Freed { life, task, run, kind } => {
+                    count_end(stats, kind);
+                    self.plan_due = true;
+                    let Some(session) = self.sessions.get_mut(&life) else { continue };
+                    session.remove_run(task, run);
+                    match kind {
+                        Some(EndKind::Done) => session.note_outcome(task.step.job, true, now),
+                        Some(EndKind::Failed) => session.note_outcome(task.step.job, false, now),
+                        _ => {}
+                    }
+                }
+                Effect::Noted { life, upto } => {
+                    if let Some(session) = self.sessions.get_mut(&life) {
+                        session.noted(upto, now);
+                    }
+                }
+                Effect::GangBroken(step) => self.stop_where(|task| task.step == step, now),
+                Effect::Superseded { life, task, run } => {
+                    if let Some(session) = self.sessions.get_mut(&life) {
+                        session.stop_run(task, run, now);
+                    }
+                }
+                Effect::JobOver(id) => {
+                    self.stop_where(|task| task.step.job == id, now);
+                    self.ready.retain(|step| step.job != id);
+                    self.advice.retain(|step| step.job != id);
+                    self.scheduled.retain(|job| *job != id);
+                }
+                Effect::LifeChanged(id) => {
+                    if !self.sessions.contains_key(&id) {
+                        self.begin_session(state, id, cfg, now);
+                    }
+                    self.plan_due = true;
+                }
+                Effect::LifeOver(id) => {
+                    self.sessions.remove(&id);
+                    self.beats.remove(&id);
+                    self.plan_due = true;
+                }
+            }
+        }
+    }
+
+    fn accepted(&mut self, state: &State, id: JobId, stats: &mut NodeStats) {
+        stats.accepted += 1;
+        let request = state.job(id).and_then(|job| job.request.as_ref());
+        if request.is_some_and(|request| request.schedule.is_some()) {
+            self.scheduled.push(id);
+        }
+    }
+
+    fn stop_where<F>(&mut self, f: F, now: Timestamp)
+    where
+        F: Fn(&jobs::TaskRef) -> bool,
+    {
+        for session in self.sessions.values_mut() {
+            session.stop_where(&f, now);
+        }
+    }
+
+    /// When the leader's duties are due at the latest.
+    pub(crate) fn next_wakeup(&self, now: Timestamp) -> Timestamp {
+        let mut next = self.next_check;
+        if !self.placing && !self.ready.is_empty() {
+            let wait = if self.plan_due { Duration::ZERO } else { PLAN_AT_LEAST };
+            next = next.min(self.next_plan + wait);
+        }
+        next = self.advice.next_wakeup().into_iter().fold(next, Timestamp::min);
+        let sessions = self.sessions.values().filter_map(|session| session.next_wakeup());
+        sessions.fold(next, Timestamp::min).max(now)
+    }
+}
+
+fn count_end(stats: &mut NodeStats, kind: Option<EndKind>) {
+    let i = match kind {
+        Some(EndKind::Done) => 0,
+        Some(EndKind::Failed) => 1,
+        Some(EndKind::Stopped) => 2,
+        Some(EndKind::Lapsed) => 3,
+        Some(EndKind::Broken) => 4,
+        Some(EndKind::Alone) => 5,
+        None => {
+            stats.lost_runs += 1;
+            return;
+        }
+    };
+    stats.ends[i] += 1;
+}
--- /dev/null
+++ b/crates/scheduler/src/message.rs
@@ -0,0 +1,98 @@
+//! What hosts say to each other.
+
+use crate::call::{Answer, Call};
+use consensus::{Config, Envelope, Term};
+use jobs::Configuration;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use types::{HostId, MemberId, Refusal, Version, WorkerId};
+
+/// Version of the protocol between hosts, exchanged when a connection opens.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// How a host says that it is there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hail {
+    /// Random number of the process.
+    pub process: MemberId,
+    /// Version of the configuration that it has.
+    pub version: Version,
+    /// It is being stopped.
+    pub draining: bool,
+}
+
+/// A message between hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// For the group's log.
+    Raft(Envelope),
+    /// The sender is there.
+    Hail(Hail),
+    /// Answer to a hail: who leads and who belongs to the group, as the sender knows.
+    Group {
+        /// Term and host of the leader.
+        leader: Option<(Term, HostId)>,
+        /// Hosts of the members.
+        members: Vec<HostId>,
+        /// The sender leads and has confirmed it lately.
+        leads: bool,
+        /// Version of the configuration in force.
+        version: Version,
+    },
+    /// A configuration in force.
+    Configuration(Arc<Configuration>),
+    /// The sender's folder, with this identity, knows nothing of the group. `first` when the whole
+    /// cell starts for the first time.
+    Blank {
+        /// Identity of the folder.
+        member: MemberId,
+        /// The cell starts for the first time.
+        first: bool,
+    },
+    /// The sender's folder has the group's log, and no leader writes to it.
+    Seek(MemberId),
+    /// The group is formed by these members.
+    Form(Config),
+    /// The receiver's folder is a member of the group: start empty and be told.
+    Join,
+    /// A call for the leader.
+    Call {
+        /// The sender's number for it.
+        id: u64,
+        /// The call.
+        call: Box<Call>,
+    },
+    /// The answer to a call.
+    Answer {
+        /// The number of the call.
+        id: u64,
+        /// The answer.
+        answer: Box<Result<Answer, Refusal>>,
+    },
+    /// The receiver of the call does not lead.
+    NotLeader {
+        /// The number of the call.
+        id: u64,
+        /// Who does, where known.
+        leader: Option<HostId>,
+    },
+    /// Ask the advice service, please.
+    Advise {
+        /// The sender's number for it.
+        number: u64,
+        /// The step, by the name that the service knows.
+        step: jobs::StepRef,
+        /// Workers to name.
+        workers: Vec<WorkerId>,
+        /// How long it may take.
+        limit: Duration,
+    },
+    /// What the advice service said.
+    Advised {
+        /// The number of the call.
+        number: u64,
+        /// Workers that may run the step, with their tickets; `None` when the call failed.
+        good: Option<Vec<(WorkerId, String)>>,
+    },
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,12 +1,11 @@
 //! The sending side.
 
 use crate::{Error, Hello, InnerClient, MAX_MESSAGE_BYTES};
-use host::{PeerMessage, PROTOCOL_VERSION};
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tarpc::context::Context;
 use tarpc::tokio_serde::formats::Bincode;
-use types::HostId;
 
 /// Longest wait for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -15,18 +14,11 @@
 #[derive(Clone, Debug)]
 pub struct PeerClient {
     client: InnerClient,
-}
-
-/// Connects to a peer as the host `me`. `spawn` runs the connection's own task.
-pub async fn connect<F>(addr: SocketAddr, me: &HostId, spawn: F) -> Result<PeerClient, Error>
-where
-    F: FnOnce(futures::future::BoxFuture<'static, ()>),
-{
-    say_hello(addr, Hello { version: PROTOCOL_VERSION, host: me.clone() }, spawn).await
+    limit: Duration,
 }
 
 /// Connects to a peer and opens the connection with this hello.
-pub async fn say_hello<F>(addr: SocketAddr, hello: Hello, spawn: F) -> Result<PeerClient, Error>
+pub async fn connect<F>(addr: SocketAddr, hello: Hello, spawn: F) -> Result<PeerClient, Error>
 where
     F: FnOnce(futures::future::BoxFuture<'static, ()>),
 {
@@ -40,22 +32,32 @@
         // Its error reaches each call that is open.
         let _ = dispatch.await;
     }));
-    let peer = PeerClient { client: new.client };
-    let answer = peer.client.hello(context(), hello).await;
+    let peer = PeerClient { client: new.client, limit: ANSWER_TIMEOUT };
+    let answer = peer.client.hello(context(ANSWER_TIMEOUT), hello).await;
     flatten(answer)?;
     Ok(peer)
 }
 
 impl PeerClient {
+    /// The same client, which waits this long for each answer.
+    pub fn answer_within(mut self, limit: Duration) -> PeerClient {
+        self.limit = limit;
+        self
+    }
+
     /// Delivers messages, in order.
-    pub async fn deliver(&self, messages: Vec<PeerMessage>) -> Result<(), Error> {
-        flatten(self.client.deliver(context(), messages).await)
+    pub async fn deliver<M>(&self, messages: &[M]) -> Result<(), Error>
+    where
+        M: Serialize,
+    {
+        let batch = postcard::to_stdvec(messages).map_err(|e| Error::Rpc(e.to_string()))?;
+        flatten(self.client.deliver(context(self.limit), batch).await)
     }
 }
 
-fn context() -> Context {
+fn context(limit: Duration) -> Context {
     let mut cx = tarpc::context::current();
-    cx.deadline = Instant::now() + ANSWER_TIMEOUT;
+    cx.deadline = Instant::now() + limit;
     cx
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,17 +1,17 @@
-//! The inner protocol: how entry hosts carry [`PeerMessage`]s to each other, by tarpc over TCP.
+//! The inner protocol: how hosts carry messages to each other, by tarpc over TCP.
 //!
 //! A connection opens with `hello`, which names the protocol version and the sender; another
-//! version is refused. After it `deliver` carries batches. Messages may get lost, doubled or
+//! version is refused. After it `deliver` carries batches of whatever message type the two hosts
+//! speak. Messages may get lost, doubled or
 //! reordered with their connections, which is all that the host expects of them.
 
 mod client;
 mod error;
 mod server;
 
-use host::PeerMessage;
 use types::HostId;
 
-pub use client::{connect, say_hello, PeerClient};
+pub use client::{connect, PeerClient};
 pub use error::{Error, ErrorKind};
 pub use server::{serve, Deliver};
 
@@ -32,6 +32,6 @@
 pub trait Inner {
     /// Opens a connection. The error says why it is refused.
     async fn hello(hello: Hello) -> Result<(), String>;
-    /// Carries messages in order.
-    async fn deliver(messages: Vec<PeerMessage>) -> Result<(), String>;
+    /// Carries an encoded batch of messages, in order.
+    async fn deliver(batch: Vec<u8>) -> Result<(), String>;
 }
