Wait out the leases of an earlier leader

A session also noted leases that it computed and never sent. Ruled out: lost starts (the runs were listed as running). Change: settling counts the longest lease that may hold; only leases that leave count.

--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -276,6 +276,7 @@
         let unsure = self.runs.iter().any(|entry| entry.stage != Stage::Running);
         let wait = if quiet && !unsure { self.cfg.look_wait } else { Duration::ZERO };
         let lease_until = self.lease_from(now);
+        self.leased_until = self.leased_until.max(lease_until.unwrap_or(0));
         (order, Order::Hold { lease_until, last_seen: self.last_seen, wait })
     }
 
@@ -288,7 +289,10 @@
             }
             let (task, run) = (entry.task, entry.run);
             let order = match (entry.stage, lease_until) {
-                (Stage::Starting, Some(lease_until)) => Order::Start { task, run, lease_until },
+                (Stage::Starting, Some(lease_until)) => {
+                    self.leased_until = self.leased_until.max(lease_until);
+                    Order::Start { task, run, lease_until }
+                }
                 (Stage::Stopping, _) => Order::Stop { task, run },
                 _ => continue,
             };
@@ -327,7 +331,7 @@
     fn look_answered(&mut self, sent: Timestamp, answer: OrderAnswer, now: Timestamp) {
         match answer {
             OrderAnswer::Done { look: Some(look), .. } => {
-                self.settled = true;
+                self.settle();
                 self.compare(sent, &look, now);
                 let pause = if self.runs.is_empty() { self.cfg.idle_look } else { Duration::ZERO };
                 self.next_look = now + pause;
@@ -355,6 +359,19 @@
         }
     }
 
+    /// The worker obeys this leader from now on. Until its first lease from here is over, an
+    /// earlier leader's may still hold.
+    fn settle(&mut self) {
+        if self.settled {
+            return;
+        }
+        self.settled = true;
+        if let Some(clock) = self.clock {
+            let longest = clock.millis + self.cfg.lease.as_millis() as u64;
+            self.leased_until = self.leased_until.max(longest);
+        }
+    }
+
     /// Compares what the worker lists with what should run there.
     fn compare(&mut self, sent: Timestamp, look: &Look, now: Timestamp) {
         let mut lost = Vec::new();
@@ -481,12 +498,11 @@
         Some(own.max(earlier))
     }
 
-    fn lease_from(&mut self, now: Timestamp) -> Option<u64> {
+    /// The end of a lease given now, on the worker's clock.
+    fn lease_from(&self, now: Timestamp) -> Option<u64> {
         let clock = self.clock?;
         let elapsed = now.saturating_sub(clock.at).as_millis() as u64;
-        let until = clock.millis + elapsed + self.cfg.lease.as_millis() as u64;
-        self.leased_until = self.leased_until.max(until);
-        Some(until)
+        Some(clock.millis + elapsed + self.cfg.lease.as_millis() as u64)
     }
 
     fn next_order(&mut self) -> OrderId {
