--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -176,7 +176,7 @@
         let prev_index = progress.next - 1;
         let prev_term = self.log.term_at(prev_index);
         let (Some(prev_term), None) = (prev_term, progress.snapshot) else {
-            let resend_before = self.now.saturating_sub(self.tuning.heartbeat);
+            let resend_before = self.now.saturating_sub(self.tuning.election_timeout);
             let part = part_due(progress, self.log.snapshot(), resend_before);
             if let Some(part) = part {
                 progress.snapshot = Some(SnapshotProgress { sent: Some(self.now), ..part });
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use scheduler::{Input, PeerMessage, PROTOCOL_VERSION};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
@@ -14,8 +15,12 @@
 
 /// Messages that wait for one host; beyond it they are lost, as a cut connection loses them.
 const MAX_QUEUED: usize = 4_096;
+/// Bytes that wait for one host; beyond it messages are lost like the others.
+const MAX_QUEUED_BYTES: usize = 4 << 20;
 /// Messages in one batch.
 const MAX_PER_BATCH: usize = 64;
+/// Bytes after which a batch gets no more messages.
+const MAX_BATCH_BYTES: usize = 1 << 20;
 /// Wait between attempts to connect.
 const RECONNECT_AFTER: Duration = Duration::from_millis(100);
 /// Longest wait for a connection.
@@ -25,11 +30,18 @@
 /// A link that was not used for this long ends.
 const IDLE: Duration = Duration::from_secs(30);
 
+/// The queue of one link.
+struct Queue {
+    tx: Sender<PeerMessage>,
+    /// Weight of the messages that wait.
+    bytes: Arc<AtomicUsize>,
+}
+
 /// The links of one host.
 pub(crate) struct Links {
     me: HostId,
     port: u16,
-    queues: SortedMap<HostId, Sender<PeerMessage>>,
+    queues: SortedMap<HostId, Queue>,
     stop: CancellationToken,
 }
 
@@ -41,15 +53,18 @@
     /// Sends, or loses the message when the other host can't keep up.
     pub(crate) fn send(&mut self, to: &HostId, message: PeerMessage) {
         let Some(queue) = self.queue(to) else { return };
-        if let Err(e) = queue.try_send(message) {
-            if e.is_closed() {
-                self.queues.remove(to);
-            }
+        let weight = message.weight();
+        if queue.bytes.load(Ordering::Relaxed) > MAX_QUEUED_BYTES {
+            return;
+        }
+        queue.bytes.fetch_add(weight, Ordering::Relaxed);
+        if queue.tx.try_send(message).is_err() {
+            queue.bytes.fetch_sub(weight, Ordering::Relaxed);
         }
     }
 
-    fn queue(&mut self, to: &HostId) -> Option<&Sender<PeerMessage>> {
-        if !self.queues.get(to).is_some_and(|queue| !queue.is_closed()) {
+    fn queue(&mut self, to: &HostId) -> Option<&Queue> {
+        if !self.queues.get(to).is_some_and(|queue| !queue.tx.is_closed()) {
             let addr = match to.parse() {
                 Ok(ip) => SocketAddr::new(ip, self.port),
                 Err(e) => {
@@ -58,9 +73,10 @@
                 }
             };
             let (tx, rx) = bounded(MAX_QUEUED);
-            let link = Link { me: self.me.clone(), peer: to.clone(), addr, rx };
-            task::spawn(link.run(self.stop.clone()));
-            self.queues.insert(to.clone(), tx);
+            let bytes: Arc<AtomicUsize> = Arc::default();
+            let (me, peer) = (self.me.clone(), to.clone());
+            task::spawn(Link { me, peer, addr, rx, bytes: bytes.clone() }.run(self.stop.clone()));
+            self.queues.insert(to.clone(), Queue { tx, bytes });
         }
         self.queues.get(to)
     }
@@ -71,14 +87,29 @@
     peer: HostId,
     addr: SocketAddr,
     rx: Receiver<PeerMessage>,
+    bytes: Arc<AtomicUsize>,
 }
 
 impl Link {
+    /// The next message that waits, if there is one.
+    fn next_now(&self) -> Option<PeerMessage> {
+        let message = self.rx.try_recv().ok()?;
+        self.bytes.fetch_sub(message.weight(), Ordering::Relaxed);
+        Some(message)
+    }
+
+    /// The next message; `None` when none comes for long.
+    async fn next(&self) -> Option<PeerMessage> {
+        let message = timeout(IDLE, self.rx.recv()).await.ok()?.ok()?;
+        self.bytes.fetch_sub(message.weight(), Ordering::Relaxed);
+        Some(message)
+    }
+
     async fn run(self, stop: CancellationToken) {
         let mut reachable = true;
         while !stop.is_cancelled() {
             // Nothing is connected before there is something to send.
-            let Ok(Ok(first)) = timeout(IDLE, self.rx.recv()).await else { break };
+            let Some(first) = self.next().await else { break };
             match self.connect().await {
                 Ok(client) => {
                     if !reachable {
@@ -97,7 +128,7 @@
                 }
             }
             // What waited for a broken connection is old by the time there is another.
-            while self.rx.try_recv().is_ok() {}
+            while self.next_now().is_some() {}
         }
     }
 
@@ -118,14 +149,16 @@
         while !stop.is_cancelled() {
             let first = match next.take() {
                 Some(first) => first,
-                None => match timeout(IDLE, self.rx.recv()).await {
-                    Ok(Ok(message)) => message,
-                    _ => return,
+                None => match self.next().await {
+                    Some(message) => message,
+                    None => return,
                 },
             };
+            let mut bytes = first.weight();
             let mut batch = vec![first];
-            while batch.len() < MAX_PER_BATCH {
-                let Ok(message) = self.rx.try_recv() else { break };
+            while batch.len() < MAX_PER_BATCH && bytes < MAX_BATCH_BYTES {
+                let Some(message) = self.next_now() else { break };
+                bytes += message.weight();
                 batch.push(message);
             }
             if let Err(e) = client.deliver(&batch).await {
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -1,7 +1,7 @@
 //! What hosts say to each other.
 
 use crate::call::{Answer, Call};
-use consensus::{Config, Envelope, Term};
+use consensus::{Config, Entry, Envelope, Message, Payload, Term};
 use jobs::Configuration;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -96,3 +96,29 @@
         good: Option<Vec<(WorkerId, String)>>,
     },
 }
+
+impl PeerMessage {
+    /// About how much memory it takes while it waits to be sent, in bytes.
+    pub fn weight(&self) -> usize {
+        const BASE: usize = 256;
+        BASE + match self {
+            PeerMessage::Raft(envelope) => match &envelope.message {
+                Message::Append { entries, .. } => entries.iter().map(entry_weight).sum(),
+                Message::Install { data, .. } => data.len(),
+                _ => 0,
+            },
+            PeerMessage::Configuration(configuration) => configuration.document.len() * 2,
+            PeerMessage::Call { call, .. } => match &**call {
+                Call::Submit { request, .. } => request.spec.len(),
+                Call::Configure(configuration) => configuration.document.len() * 2,
+                _ => 0,
+            },
+            _ => 0,
+        }
+    }
+}
+
+fn entry_weight(entry: &Entry) -> usize {
+    const BASE: usize = 64;
+    BASE + if let Payload::Command(data) = &entry.payload { data.len() } else { 0 }
+}
