Refuse at once where no leader is known; log decisions within bounds

Ruled out: shorter waits for calls that may have arrived (the answer would be untrue). Change: calls leave only for a leader heard in the last 0.7 s; without one for longer than an election a call is refused with a time to come back; such a host is not ready. Logs: a line for each job, placement and end, through a bounded buffer with its own thread.

--- /dev/null
+++ b/crates/daemon/src/bounded.rs
@@ -0,0 +1,185 @@
+//! Log lines on standard output that never hold up the process and never grow without bound.
+//!
+//! Whoever logs puts a line into a buffer; a thread of its own writes the buffer out. A reader
+//! that stops reading stops that thread and nothing else. What goes over the budget is counted by
+//! module, and the counts are logged.
+
+use logforth::kv::{KeyView, ValueView, Visitor};
+use logforth::record::{Level, Record};
+use logforth::{Append, Diagnostic, Error};
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, UNIX_EPOCH};
+use types::SortedMap;
+
+/// Lines a second, below warnings.
+const LINES_PER_SECOND: u32 = 1_500;
+/// Warnings and errors a second, on top.
+const WARNINGS_PER_SECOND: u32 = 300;
+/// Bytes that wait to be written.
+const MAX_BUFFERED: usize = 256 << 10;
+/// Lines are gathered for this long before they are written together.
+const GATHER: Duration = Duration::from_millis(250);
+
+#[derive(Debug, Default)]
+struct Buffer {
+    bytes: Vec<u8>,
+    window: Option<Instant>,
+    lines: u32,
+    warnings: u32,
+    dropped: SortedMap<String, u64>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    buffer: Mutex<Buffer>,
+    filled: Condvar,
+}
+
+/// Appends log lines to standard output within bounds. See the module page.
+#[derive(Debug)]
+pub(crate) struct BoundedStdout(Arc<Shared>);
+
+impl BoundedStdout {
+    /// Starts the thread that writes.
+    pub(crate) fn start() -> BoundedStdout {
+        let shared: Arc<Shared> = Arc::default();
+        let writer = shared.clone();
+        thread::spawn(move || write_out(&writer, &mut std::io::stdout()));
+        BoundedStdout(shared)
+    }
+}
+
+fn write_out<W>(shared: &Shared, out: &mut W)
+where
+    W: std::io::Write,
+{
+    loop {
+        let mut buffer = shared.buffer.lock().expect("no one panics with the lock");
+        while buffer.bytes.is_empty() {
+            buffer = shared.filled.wait(buffer).expect("no one panics with the lock");
+        }
+        let bytes = std::mem::take(&mut buffer.bytes);
+        drop(buffer);
+        // With nobody left to read, there is nobody to tell either.
+        let _ = out.write_all(&bytes).and_then(|()| out.flush());
+        thread::sleep(GATHER);
+    }
+}
+
+impl Buffer {
+    /// Whether the budget allows one more line; counts it if not.
+    fn admit(&mut self, level: Level, target: &str, length: usize) -> bool {
+        let now = Instant::now();
+        if self.window.is_none_or(|begun| now - begun >= Duration::from_secs(1)) {
+            self.window = Some(now);
+            (self.lines, self.warnings) = (0, 0);
+            self.report_dropped();
+        }
+        let (count, limit) = if level >= Level::Warn {
+            (&mut self.warnings, WARNINGS_PER_SECOND)
+        } else {
+            (&mut self.lines, LINES_PER_SECOND)
+        };
+        *count += 1;
+        let admitted = *count <= limit && self.bytes.len() + length <= MAX_BUFFERED;
+        if !admitted {
+            match self.dropped.get_mut(target) {
+                Some(count) => *count += 1,
+                None => drop(self.dropped.insert(target.to_string(), 1)),
+            }
+        }
+        admitted
+    }
+
+    fn report_dropped(&mut self) {
+        if self.dropped.is_empty() {
+            return;
+        }
+        let mut line = String::from("{\"level\":\"WARN\",\"message\":\"log lines were dropped\"");
+        for (target, count) in std::mem::take(&mut self.dropped).iter() {
+            // Writing to a string does not fail.
+            let _ = write!(line, ",\"{target}\":{count}");
+        }
+        line.push_str("}\n");
+        if self.bytes.len() + line.len() <= MAX_BUFFERED {
+            self.bytes.extend_from_slice(line.as_bytes());
+        }
+    }
+}
+
+/// Adds the fields of a record to a line.
+struct Fields<'a>(&'a mut String);
+
+impl Visitor for Fields<'_> {
+    fn visit(&mut self, key: KeyView<'_>, value: ValueView<'_>) -> Result<(), Error> {
+        self.0.push_str(",\"");
+        self.0.push_str(key.as_str());
+        self.0.push_str("\":");
+        if let Some(number) = value.to_u64() {
+            let _ = write!(self.0, "{number}");
+        } else if let Some(flag) = value.to_bool() {
+            let _ = write!(self.0, "{flag}");
+        } else {
+            push_text(self.0, &value.to_string());
+        }
+        Ok(())
+    }
+}
+
+/// Adds a quoted text with what JSON wants escaped.
+fn push_text(line: &mut String, text: &str) {
+    line.push('"');
+    for c in text.chars() {
+        match c {
+            '"' => line.push_str("\\\""),
+            '\\' => line.push_str("\\\\"),
+            c if c.is_control() => {
+                let _ = write!(line, "\\u{:04x}", u32::from(c));
+            }
+            c => line.push(c),
+        }
+    }
+    line.push('"');
+}
+
+fn format_line(record: &Record<'_>) -> Result<String, Error> {
+    let since_epoch = record.time().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut line = String::with_capacity(192);
+    let (level, target) = (record.level().name(), record.target());
+    let _ = write!(
+        line,
+        "{{\"at_ms\":{},\"level\":\"{level}\",\"target\":\"{target}\",\"message\":",
+        since_epoch.as_millis()
+    );
+    push_text(&mut line, &record.payload().to_string());
+    record.key_values().visit(&mut Fields(&mut line))?;
+    line.push_str("}\n");
+    Ok(line)
+}
+
+impl Append for BoundedStdout {
+    fn append(&self, record: &Record<'_>, _: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let line = format_line(record)?;
+        let mut buffer = self.0.buffer.lock().expect("no one panics with the lock");
+        if buffer.admit(record.level(), record.target(), line.len()) {
+            let was_empty = buffer.bytes.is_empty();
+            buffer.bytes.extend_from_slice(line.as_bytes());
+            if was_empty {
+                self.0.filled.notify_one();
+            }
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        let mut buffer = self.0.buffer.lock().expect("no one panics with the lock");
+        let bytes = std::mem::take(&mut buffer.bytes);
+        drop(buffer);
+        // As in the writer: nobody is left to be told.
+        let _ = std::io::stdout().write_all(&bytes);
+        Ok(())
+    }
+}
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -66,7 +66,9 @@
         match self {
             Error::Usage(_) | Error::Settings(_) => ErrorKind::Usage,
             Error::Storage(_) => ErrorKind::Storage,
-            Error::Listen(..) | Error::Peers(..) | Error::Platform(_) | Error::Io(_) => ErrorKind::Running,
+            Error::Listen(..) | Error::Peers(..) | Error::Platform(_) | Error::Io(_) => {
+                ErrorKind::Running
+            }
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! or settings that can't be used, 3 for a data folder that can't be used.
 
 mod args;
+mod bounded;
 mod burn;
 mod clock;
 mod config;
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -1,6 +1,7 @@
 //! Structured logs to standard error.
 
-use logforth::append::{Stderr, Stdout};
+use crate::bounded::BoundedStdout;
+use logforth::append::Stderr;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::{JsonLayout, TextLayout};
 use settings::{LogFormat, LogSettings};
@@ -26,6 +27,6 @@
 pub(crate) fn start_on_platform() {
     let spec = std::iter::once("info").chain(QUIET).collect::<Vec<_>>().join(",");
     let filter = RustLogFilterBuilder::from_spec(spec).build();
-    let append = Stdout::default().with_layout(JsonLayout::default());
+    let append = BoundedStdout::start();
     logforth::starter_log::builder().dispatch(|d| d.filter(filter).append(append)).apply();
 }
--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -41,7 +41,11 @@
 
 impl StepAdvice {
     /// Lives that may run the step, with whether the ticket is still good for a start.
-    pub fn good(&self, now: Timestamp, life: Duration) -> impl Iterator<Item = (LifeId, bool)> + '_ {
+    pub fn good(
+        &self,
+        now: Timestamp,
+        life: Duration,
+    ) -> impl Iterator<Item = (LifeId, bool)> + '_ {
         self.good.iter().map(move |ticket| {
             let fresh = !ticket.text.is_empty() && now + TICKET_RESERVE < ticket.asked + life;
             (ticket.life, fresh)
@@ -166,9 +170,11 @@
     fn choose_caller(&self, duration: Duration, now: Timestamp) -> Option<HostId> {
         let short_lane = (self.callers.len() / SHORT_LANE_ONE_IN).max(1);
         let alone = self.callers.len() < 2;
-        let lane = self.callers.iter().enumerate().filter(|(i, _)| {
-            alone || (duration <= SHORT_CALL) == (*i < short_lane)
-        });
+        let lane = self
+            .callers
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| alone || (duration <= SHORT_CALL) == (*i < short_lane));
         let free = lane.filter(|(_, (_, caller))| now >= caller.rest_until);
         let first = free.min_by_key(|(_, (_, caller))| caller.busy_until.max(now))?;
         Some(first.1 .0.clone())
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -311,7 +311,13 @@
     }
 
     /// Handles the answer to an order that was sent at `sent`.
-    pub fn answered(&mut self, order: OrderId, sent: Timestamp, answer: OrderAnswer, now: Timestamp) {
+    pub fn answered(
+        &mut self,
+        order: OrderId,
+        sent: Timestamp,
+        answer: OrderAnswer,
+        now: Timestamp,
+    ) {
         if let OrderAnswer::Done { clock, .. } | OrderAnswer::Refused { clock, .. } = &answer {
             self.heard = Some(now);
             self.misses = 0;
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -154,7 +154,8 @@
     pub fn steps_ready(&self) -> impl Iterator<Item = StepRef> + '_ {
         self.occurrences.iter().flat_map(move |(occurrence, o)| {
             let steps = 0..o.steps.len() as u16;
-            let refs = steps.map(move |step| StepRef { job: self.id, occurrence: *occurrence, step });
+            let refs =
+                steps.map(move |step| StepRef { job: self.id, occurrence: *occurrence, step });
             refs.filter(|step| self.is_ready(*step))
         })
     }
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -382,9 +382,8 @@
 
     /// A life that is new ends every earlier one of the same name or at the same address.
     fn worker(&mut self, info: WorkerInfo, effects: &mut Vec<Effect>) -> Reply {
-        let same_place = |life: &Life| {
-            life.info.worker == info.worker || life.info.addr == info.addr
-        };
+        let same_place =
+            |life: &Life| life.info.worker == info.worker || life.info.addr == info.addr;
         if self.lives().any(|life| same_place(life) && life.info.born > info.born) {
             return Reply::Done;
         }
--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -191,9 +191,8 @@
 ) -> Vec<(u32, Candidate)> {
     let mut chosen = Vec::new();
     for index in &demand.tasks {
-        let fitting = candidates
-            .iter_mut()
-            .filter(|c| c.most > 0 && demand.need.fits_in(&rooms[c.at].free));
+        let fitting =
+            candidates.iter_mut().filter(|c| c.most > 0 && demand.need.fits_in(&rooms[c.at].free));
         let best = fitting.min_by_key(|c| (!c.near, !c.ready, rooms[c.at].free.cpu));
         let Some(best) = best else { break };
         best.most -= 1;
@@ -254,12 +253,7 @@
 
 /// Notes what was chosen: placements where a start can be sent, renewals where not. A gang waits
 /// for all of its tickets; the room stays taken meanwhile.
-fn take(
-    rooms: &[WorkerRoom],
-    demand: &Demand,
-    chosen: Vec<(u32, Candidate)>,
-    plan: &mut StepPlan,
-) {
+fn take(rooms: &[WorkerRoom], demand: &Demand, chosen: Vec<(u32, Candidate)>, plan: &mut StepPlan) {
     let life = |c: &Candidate| rooms[c.at].life;
     let mut renew: Vec<LifeId> =
         chosen.iter().filter(|(_, c)| !c.ready).map(|(_, c)| life(c)).collect();
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -13,6 +13,8 @@
 const CALL_AGAIN: Duration = Duration::from_millis(700);
 /// The same while no leader is known.
 const LOOK_AGAIN: Duration = Duration::from_millis(60);
+/// An election is over within this time; a caller waits for it rather than come back.
+const ELECTION: Duration = Duration::from_millis(1_300);
 /// When a caller should come back after a call that could not be made.
 const COME_BACK: Duration = Duration::from_secs(1);
 
@@ -52,7 +54,7 @@
     fn make_call(&mut self, id: u64) {
         let now = self.now;
         let leads = self.leads();
-        let hop = if leads { None } else { self.known.next_hop(now) };
+        let hop = if leads { None } else { self.known.live_leader(now) };
         let Some(open) = self.calls.get_mut(&id) else { return };
         if leads {
             open.retry_at = open.deadline;
@@ -64,13 +66,22 @@
         let me = &self.cfg.host;
         match hop.filter(|host| host != me) {
             Some(host) => {
-                let known = self.known.live_leader(now).is_some();
-                open.retry_at = now + if known { CALL_AGAIN } else { LOOK_AGAIN * 3 };
+                open.retry_at = now + CALL_AGAIN;
                 open.sent = true;
                 let call = Box::new(open.call.clone());
                 self.send(&host, PeerMessage::Call { id, call });
             }
-            None => open.retry_at = now + LOOK_AGAIN,
+            None => {
+                open.retry_at = now + LOOK_AGAIN;
+                // Nothing has left this host, so the caller can be told at once.
+                if !open.sent && self.known.without_leader(now) >= ELECTION {
+                    let cause = "no leader is known; nothing was done";
+                    let refusal = Refusal::new(RefusalKind::Unavailable, cause);
+                    log::info!(call = open.call.name(), exchange = open.exchange;
+                        "refused: no leader is known");
+                    self.answer(Origin::Own(id), Err(refusal.retry_after(COME_BACK)));
+                }
+            }
         }
     }
 
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -239,4 +239,3 @@
         limit,
     })
 }
-
--- a/crates/scheduler/src/gossip.rs
+++ b/crates/scheduler/src/gossip.rs
@@ -1,8 +1,8 @@
 //! How hosts find the group and its leader, and learn of configurations.
 
+use crate::io::Output;
 use crate::message::{Hail, PeerMessage};
 use crate::node::Node;
-use crate::io::Output;
 use consensus::{Config, Term, ANNOUNCE_EVERY};
 use jobs::Configuration;
 use std::sync::Arc;
@@ -10,11 +10,11 @@
 use types::{HostId, MemberId, SortedMap, Timestamp, Version};
 
 /// How often a host says that it is there.
-const HAIL_EVERY: Duration = Duration::from_millis(400);
+const HAIL_EVERY: Duration = Duration::from_millis(250);
 /// How often while no leader is known.
 const HAIL_IN_A_HURRY: Duration = Duration::from_millis(120);
 /// A leader not heard for this long is looked for anew.
-const LEADER_SILENCE: Duration = Duration::from_millis(1_000);
+const LEADER_SILENCE: Duration = Duration::from_millis(700);
 /// A host that hailed this recently can make calls for the leader.
 const PRESENT: Duration = Duration::from_millis(1_300);
 /// Hosts remembered; a cell has fewer that belong to the group.
@@ -36,9 +36,10 @@
     seeds: Vec<HostId>,
     leader: Option<(Term, HostId)>,
     leader_heard: Option<Timestamp>,
+    /// Since when no leader is known.
+    lost_at: Option<Timestamp>,
     present: SortedMap<HostId, Present>,
     pub(crate) next_hail: Timestamp,
-    turn: usize,
 }
 
 impl Known {
@@ -48,9 +49,9 @@
             seeds: seeds.to_vec(),
             leader: None,
             leader_heard: None,
+            lost_at: None,
             present: SortedMap::default(),
             next_hail: Timestamp::ZERO,
-            turn: 0,
         }
     }
 
@@ -88,23 +89,28 @@
         self.leader_heard.is_some_and(|at| now < at + span)
     }
 
+    /// Notes whether a leader is known. True when the last one was just lost.
+    fn note_silence(&mut self, now: Timestamp, known: bool) -> bool {
+        if known {
+            self.lost_at = None;
+            return false;
+        }
+        let lost = self.lost_at.is_none();
+        self.lost_at.get_or_insert(now);
+        lost
+    }
+
+    /// For how long no leader has been known.
+    pub(crate) fn without_leader(&self, now: Timestamp) -> Duration {
+        self.lost_at.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
+
     /// The leader, where it was heard lately.
     pub(crate) fn live_leader(&self, now: Timestamp) -> Option<HostId> {
         let (_, host) = self.leader.as_ref()?;
         self.leader_heard_within(now, LEADER_SILENCE).then(|| host.clone())
     }
 
-    /// Whom to hand a call to: the leader, or one after the other of those that may know it.
-    pub(crate) fn next_hop(&mut self, now: Timestamp) -> Option<HostId> {
-        if let Some(host) = self.live_leader(now) {
-            return Some(host);
-        }
-        let candidates = self.candidates();
-        self.turn = self.turn.wrapping_add(1);
-        let count = candidates.len().max(1);
-        candidates.get(self.turn % count).cloned()
-    }
-
     /// Hosts that hailed lately and go on running.
     pub(crate) fn present(&self, now: Timestamp) -> Vec<HostId> {
         let here = self.present.iter().filter(|(_, p)| now < p.heard + PRESENT && !p.draining);
@@ -172,9 +178,14 @@
         }
         if leads {
             self.known.leader_heard = Some(now);
+            self.known.note_silence(now, true);
             self.known.next_hail = now + HAIL_EVERY;
             return;
         }
+        let known = self.known.live_leader(now).is_some();
+        if self.known.note_silence(now, known) {
+            log::warn!(version = self.configuration.version; "the leader is lost");
+        }
         match self.known.live_leader(now) {
             Some(leader) => {
                 self.known.next_hail = now + HAIL_EVERY;
@@ -228,6 +239,7 @@
                 self.retry_calls_now();
             }
             self.known.leader_heard = Some(self.now);
+            self.known.note_silence(self.now, true);
         }
     }
 
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -244,7 +244,8 @@
 
     fn follow_effects(&mut self, effects: &[Effect]) {
         if effects.contains(&Effect::Configured) {
-            let configuration = self.group.as_ref().map(|group| group.state.configuration().clone());
+            let configuration =
+                self.group.as_ref().map(|group| group.state.configuration().clone());
             if let Some(configuration) = configuration {
                 self.take_configuration(configuration);
                 if self.leads() {
@@ -280,7 +281,9 @@
     match reply {
         Reply::Done => Ok(Answer::Done),
         Reply::InForce(version) => Ok(Answer::InForce(version)),
-        Reply::NotFound => Err(Refusal::new(RefusalKind::NotFound, "there is no such queue or job")),
+        Reply::NotFound => {
+            Err(Refusal::new(RefusalKind::NotFound, "there is no such queue or job"))
+        }
     }
 }
 
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -125,6 +125,9 @@
                 }
                 Effect::Placed { life, task, run } => {
                     stats.starts += 1;
+                    log::info!(job = hex(task.step.job).as_str(), step = task.step.step,
+                        index = task.index, run = run, life = life, term = self.term;
+                        "task placed");
                     if let Some(session) = self.sessions.get_mut(&life) {
                         session.add_run(task, run, now);
                     }
@@ -132,6 +135,8 @@
                 Effect::Freed { life, task, run, kind } => {
                     count_end(stats, kind);
                     self.plan_due = true;
+                    log::info!(job = hex(task.step.job).as_str(), step = task.step.step,
+                        index = task.index, run = run, life = life, kind:? = kind; "run ended");
                     let Some(session) = self.sessions.get_mut(&life) else { continue };
                     session.remove_run(task, run);
                     match kind {
@@ -152,6 +157,7 @@
                     }
                 }
                 Effect::JobOver(id) => {
+                    log_over(state, id, now);
                     self.stop_where(|task| task.step.job == id, now);
                     self.ready.retain(|step| step.job != id);
                     self.advice.retain(|step| step.job != id);
@@ -174,7 +180,12 @@
 
     fn accepted(&mut self, state: &State, id: JobId, stats: &mut NodeStats) {
         stats.accepted += 1;
-        let request = state.job(id).and_then(|job| job.request.as_ref());
+        let Some(job) = state.job(id) else { return };
+        let request = job.request.as_ref();
+        let policy = state.policy(job.queue);
+        log::info!(job = hex(id).as_str(), queue = policy.name.as_str(),
+            steps = request.map_or(0, |request| request.steps.len()),
+            objective_ms = objective_ms(state, job), waiting = self.ready.len(); "job accepted");
         if request.is_some_and(|request| request.schedule.is_some()) {
             self.scheduled.push(id);
         }
@@ -217,3 +228,20 @@
     };
     stats.ends[i] += 1;
 }
+
+/// A job's id as callers write it.
+pub(crate) fn hex(id: JobId) -> String {
+    format!("{id:016x}")
+}
+
+fn objective_ms(state: &State, job: &jobs::Job) -> u64 {
+    let chain = job.request.as_ref().map(|request| request.chain()).unwrap_or_default();
+    state.policy(job.queue).objective(chain).as_millis() as u64
+}
+
+fn log_over(state: &State, id: JobId, now: Timestamp) {
+    let Some(job) = state.job(id) else { return };
+    let took = now.saturating_sub(job.submitted).as_millis() as u64;
+    log::info!(job = hex(id).as_str(), queue = state.policy(job.queue).name.as_str(),
+        phase:? = job.phase, took_ms = took; "job over");
+}
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -16,6 +16,9 @@
 /// A host that was not stepped for this long was paused.
 const PAUSE: Duration = Duration::from_millis(600);
 
+/// After this time without a leader, callers are better off elsewhere.
+const OUT_OF_TOUCH: Duration = Duration::from_millis(500);
+
 /// Counts and gauges for metrics.
 #[derive(Clone, Debug, Default)]
 pub struct NodeStats {
@@ -103,7 +106,8 @@
         match start.group {
             Some(restored) => node.open_group(restored),
             None if node.cfg.disk && node.cfg.bootstrap && node.is_seed() => {
-                let member = |host: &HostId| InitialMember { host: host.clone(), role: Role::Voter };
+                let member =
+                    |host: &HostId| InitialMember { host: host.clone(), role: Role::Voter };
                 let members = node.cfg.seeds.iter().map(member).collect();
                 node.forming = Some(Forming::new(members, start.now));
             }
@@ -240,6 +244,8 @@
             Some("this host is being stopped")
         } else if self.configuration.version == 0 {
             Some("no configuration is in force here yet")
+        } else if !self.leads() && self.known.without_leader(self.now) >= OUT_OF_TOUCH {
+            Some("this host has lost touch with the leader")
         } else {
             None
         }
--- a/crates/scheduler/src/repair.rs
+++ b/crates/scheduler/src/repair.rs
@@ -14,7 +14,8 @@
         let voters = config.voters().count();
         // Whoever asks to join has a disk; beyond the wanted number they only learn.
         let is_voter = |host: &HostId| {
-            let replaces = config.members().iter().any(|m| m.host == *host && m.role == Role::Voter);
+            let replaces =
+                config.members().iter().any(|m| m.host == *host && m.role == Role::Voter);
             replaces || voters < self.cfg.voters
         };
         let asked = self.newcomers.hosts();
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -45,8 +45,7 @@
         let Some(peer) = self.peer.get() else {
             return Err("hello: must come first".to_string());
         };
-        let messages: Vec<M> =
-            postcard::from_bytes(&batch).map_err(|e| format!("batch: {e}"))?;
+        let messages: Vec<M> = postcard::from_bytes(&batch).map_err(|e| format!("batch: {e}"))?;
         (self.deliver)(peer.clone(), messages);
         Ok(())
     }
