Carry orders through the group's members; ask for advice by need

Ruled out: entry hosts as carriers (41 links of small batches cost more than the calls they save). Change: beyond 96 workers the other members send the leader's orders; rooms refer to the state; sessions keep when they are due; a call names about as many workers as the step needs at the share of good ones learned, urgent steps first, and none queues for long behind others.

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -1,6 +1,6 @@
 //! Which workers may run a step, as an advice service said, and who asks it.
 
-use jobs::{AdvicePolicy, LifeId, StepRef};
+use jobs::{AdvicePolicy, LifeId, QueueId, StepRef};
 use std::time::Duration;
 use types::{HostId, SortedMap, Timestamp};
 
@@ -10,6 +10,14 @@
 pub const MAX_WORKERS_PER_CALL: usize = 100;
 /// Calls shorter than this count as short; they never wait behind longer ones.
 const SHORT_CALL: Duration = Duration::from_millis(60);
+/// A short call is not begun at a caller that is busy for longer than this.
+const SHORT_BACKLOG: Duration = Duration::from_millis(200);
+/// The same for a long call.
+const LONG_BACKLOG: Duration = Duration::from_millis(900);
+/// Share of workers that may run a step, before anything is known.
+const USUAL_GOOD_SHARE: f64 = 0.5;
+/// Weight of that guess, in workers asked about.
+const GUESS_WEIGHT: f64 = 20.0;
 /// A call that is not answered within its time and this much more is made again elsewhere.
 const CALL_SLACK: Duration = Duration::from_millis(700);
 /// One in so many callers is kept for short calls.
@@ -91,6 +99,7 @@
 
 #[derive(Clone, Debug)]
 struct Open {
+    queue: QueueId,
     call: AdviceCall,
     sent: Timestamp,
     duration: Duration,
@@ -108,6 +117,8 @@
     steps: SortedMap<StepRef, StepAdvice>,
     callers: SortedMap<HostId, Caller>,
     open: SortedMap<u64, Open>,
+    /// Workers asked about and workers found good, by queue.
+    shares: SortedMap<QueueId, (f64, f64)>,
     last: u64,
 }
 
@@ -130,6 +141,13 @@
         self.steps.retain(|step, _| f(step));
     }
 
+    /// Share of the workers that may run a step of the queue, as learned.
+    pub fn good_share(&self, queue: QueueId) -> f64 {
+        let (asked, found) = self.shares.get(&queue).copied().unwrap_or_default();
+        let share = (found + USUAL_GOOD_SHARE * GUESS_WEIGHT) / (asked + GUESS_WEIGHT);
+        share.clamp(0.05, 1.0)
+    }
+
     /// Sets the hosts that can make calls.
     pub fn set_callers(&mut self, hosts: &[HostId]) {
         self.callers.retain(|host, _| hosts.contains(host));
@@ -143,6 +161,7 @@
     pub fn ask(
         &mut self,
         step: StepRef,
+        queue: QueueId,
         lives: Vec<LifeId>,
         policy: &AdvicePolicy,
         now: Timestamp,
@@ -160,7 +179,7 @@
         let limit = entry.busy_until.saturating_sub(now) + CALL_SLACK;
         self.last += 1;
         let call = AdviceCall { number: self.last, caller, step, lives, limit };
-        self.open.insert(self.last, Open { call: call.clone(), sent: now, duration });
+        self.open.insert(self.last, Open { queue, call: call.clone(), sent: now, duration });
         self.steps.get_or_insert_with(step, StepAdvice::default).pending = true;
         Some(call)
     }
@@ -175,7 +194,10 @@
             .iter()
             .enumerate()
             .filter(|(i, _)| alone || (duration <= SHORT_CALL) == (*i < short_lane));
-        let free = lane.filter(|(_, (_, caller))| now >= caller.rest_until);
+        let backlog = if duration <= SHORT_CALL { SHORT_BACKLOG } else { LONG_BACKLOG };
+        let free = lane.filter(|(_, (_, caller))| {
+            now >= caller.rest_until && caller.busy_until <= now + backlog
+        });
         let first = free.min_by_key(|(_, (_, caller))| caller.busy_until.max(now))?;
         Some(first.1 .0.clone())
     }
@@ -183,7 +205,7 @@
     /// Handles the answer to a call: lives that may run the step with their tickets, or `None`
     /// when the call failed. `life_of` gives the life that a worker's name had in the call.
     pub fn answered(&mut self, number: u64, good: Option<Vec<(LifeId, String)>>, now: Timestamp) {
-        let Some(Open { call, sent, duration }) = self.open.remove(&number) else { return };
+        let Some(Open { queue, call, sent, duration }) = self.open.remove(&number) else { return };
         let caller = self.callers.get_mut(&call.caller);
         let Some(step) = self.steps.get_mut(&call.step) else { return };
         step.pending = false;
@@ -194,6 +216,9 @@
             }
             return;
         };
+        let (asked, found) = self.shares.get_or_insert_with(queue, || (0.0, 0.0));
+        *asked += call.lives.len() as f64;
+        *found += good.len() as f64;
         // It can't have answered before it began, and it answers as it ends.
         let asked = now.max(sent + duration) - (now - sent).min(Duration::from_millis(20));
         let asked = asked.min(now);
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -1,13 +1,14 @@
 //! Orders to workers and their answers.
 
 use jobs::{End, RunNumber, TaskRef};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Numbers the orders of one process.
 pub type OrderId = u64;
 
 /// An order to a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// Start a task.
     Start {
@@ -38,7 +39,7 @@
 }
 
 /// A run as its worker lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
     /// The task.
     pub task: TaskRef,
@@ -49,7 +50,7 @@
 }
 
 /// What a worker lists.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Look {
     /// Runs at work.
     pub running: Vec<Listed>,
@@ -58,7 +59,7 @@
 }
 
 /// Why a worker did not do what it was told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refused {
     /// It has seen a higher fence.
     Fence,
@@ -79,7 +80,7 @@
 }
 
 /// The answer to an order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderAnswer {
     /// Done; the worker's clock in milliseconds, where it said so.
     Done {
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -154,6 +154,8 @@
     failed_jobs: Vec<JobId>,
     last_order: OrderId,
     facts: Vec<Fact>,
+    /// When something is due, worked out after each change.
+    wake_at: Option<Timestamp>,
 }
 
 impl Session {
@@ -178,6 +180,7 @@
             failed_jobs: Vec::new(),
             last_order: 0,
             facts: Vec::new(),
+            wake_at: Some(now),
         }
     }
 
@@ -228,6 +231,7 @@
             percent_at: now,
             expected: None,
         });
+        self.set_wakeup();
     }
 
     /// Says what a run should take.
@@ -240,6 +244,7 @@
     /// A run that the log has taken off this life.
     pub fn remove_run(&mut self, task: TaskRef, run: RunNumber) {
         self.runs.retain(|entry| (entry.task, entry.run) != (task, run));
+        self.set_wakeup();
     }
 
     /// A run must stop.
@@ -247,6 +252,7 @@
         for entry in self.runs.iter_mut().filter(|e| (e.task, e.run) == (task, run)) {
             stop_entry(entry, now);
         }
+        self.set_wakeup();
     }
 
     /// All runs for which `f` holds must stop.
@@ -257,6 +263,7 @@
         for entry in self.runs.iter_mut().filter(|entry| f(&entry.task)) {
             stop_entry(entry, now);
         }
+        self.set_wakeup();
     }
 
     /// The log has taken note of ends up to `number`.
@@ -266,6 +273,7 @@
             self.noting = None;
             self.next_look = now;
         }
+        self.set_wakeup();
     }
 
     /// What was handed to the log did not get there, so it is to be handed over again.
@@ -275,6 +283,7 @@
         for entry in &mut self.runs {
             entry.reported = false;
         }
+        self.set_wakeup();
     }
 
     /// The worker said on its own what its clock shows.
@@ -282,6 +291,7 @@
         if self.clock.is_none() {
             self.clock = Some(ClockReading { millis, at: now });
         }
+        self.set_wakeup();
     }
 
     /// Notes how a run of a job ended, to notice a worker that fails whatever it starts. Only
@@ -316,11 +326,20 @@
         if self.settled {
             self.poll_runs(now, &mut orders);
         }
+        self.set_wakeup();
         orders
     }
 
     /// When [`Session::poll`] is due at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
+        self.wake_at
+    }
+
+    fn set_wakeup(&mut self) {
+        self.wake_at = self.due_at();
+    }
+
+    fn due_at(&self) -> Option<Timestamp> {
         let look = (self.look.is_none() && self.noting.is_none()).then_some(self.next_look);
         let busy = |e: &&RunEntry| {
             e.pending.is_none() && matches!(e.stage, Stage::Starting | Stage::Stopping)
@@ -388,12 +407,10 @@
         if self.look == Some(order) {
             self.look = None;
             self.look_answered(sent, answer, now);
-            return;
-        }
-        let found = self.runs.iter().position(|entry| entry.pending == Some(order));
-        if let Some(i) = found {
+        } else if let Some(i) = self.runs.iter().position(|e| e.pending == Some(order)) {
             self.run_answered(i, answer, now);
         }
+        self.set_wakeup();
     }
 
     fn look_answered(&mut self, sent: Timestamp, answer: OrderAnswer, now: Timestamp) {
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -54,18 +54,26 @@
     pub last_seen: u64,
     /// What has a place there, in order of placement.
     pub runs: Vec<Run>,
+    /// What the runs take together.
+    pub(crate) used: Room,
 }
 
 impl Life {
     /// Room that no run takes.
     pub fn free(&self) -> Room {
-        let used = self.runs.iter().fold(Room::default(), |sum, run| sum.plus(&run.need));
-        self.info.capacity.minus(&used)
+        self.info.capacity.minus(&self.used)
+    }
+
+    pub(crate) fn add(&mut self, run: Run) {
+        self.used = self.used.plus(&run.need);
+        self.runs.push(run);
     }
 
     pub(crate) fn remove(&mut self, task: TaskRef, run: RunNumber) -> bool {
-        let before = self.runs.len();
-        self.runs.retain(|r| (r.task, r.run) != (task, run));
-        self.runs.len() < before
+        let found = self.runs.iter().position(|r| (r.task, r.run) == (task, run));
+        let Some(i) = found else { return false };
+        let removed = self.runs.remove(i);
+        self.used = self.used.minus(&removed.need);
+        true
     }
 }
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -5,7 +5,7 @@
 use crate::job::{Job, Occurrence, Phase, Progress};
 use crate::life::{Life, Run, WorkerInfo};
 use crate::model::{
-    End, EndKind, JobRequest, LifeId, Placement, QueueId, RunNumber, StepRef, TaskRef,
+    End, EndKind, JobRequest, LifeId, Placement, QueueId, Room, RunNumber, StepRef, TaskRef,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -221,7 +221,7 @@
             let spread = most == 0 || there < most as usize;
             if fits && spread && life.info.service == service {
                 let task = TaskRef { step: *step, index: *index };
-                life.runs.push(Run { task, run: 0, need });
+                life.add(Run { task, run: 0, need });
                 taken.push((*index, *id));
             }
         }
@@ -404,7 +404,10 @@
         }
         self.last_life += 1;
         let id = self.last_life;
-        self.lives.insert(id, Box::new(Life { id, info, last_seen: 0, runs: Vec::new() }));
+        self.lives.insert(
+            id,
+            Box::new(Life { id, info, last_seen: 0, runs: Vec::new(), used: Room::default() }),
+        );
         effects.push(Effect::LifeChanged(id));
         Reply::Done
     }
--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -4,9 +4,9 @@
 //! gang that is next but does not fit yet, so that small work behind it can't starve it, and for
 //! tasks whose ticket has to be renewed first.
 
-use jobs::{LifeId, Placement, Room, RunNumber, StepRef, TaskRef};
+use jobs::{LifeId, Placement, Room, RunNumber, StepRef, TaskRef, WorkerInfo};
 use std::time::Duration;
-use types::{ServiceName, Timestamp};
+use types::{ServiceName, SortedMap, Timestamp};
 
 /// Gangs that don't fit for which room is kept at one time.
 const GANGS_WITH_KEPT_ROOM: usize = 3;
@@ -17,22 +17,21 @@
 const SLOWNESS_STEP: u32 = 15;
 
 /// A worker as the pass sees it.
-#[derive(Clone, Debug, Default)]
-pub struct WorkerRoom {
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerRoom<'a> {
     /// Its life.
     pub life: LifeId,
-    /// Its service.
-    pub service: ServiceName,
-    /// Its rack.
-    pub rack: String,
-    /// Its labels.
-    pub labels: Vec<String>,
-    /// What it can hold.
-    pub capacity: Room,
+    /// What it says of itself.
+    pub info: &'a WorkerInfo,
     /// What no run takes.
     pub free: Room,
     /// How long work takes there, in percent of what it takes elsewhere.
     pub slowness: u32,
+}
+
+/// What could be had on a worker beyond what is free.
+#[derive(Clone, Debug, Default)]
+pub struct Givers {
     /// What is free soon: runs that are being stopped.
     pub stopping: Room,
     /// Runs that can be stopped and go on later from where they were, least done first.
@@ -155,8 +154,13 @@
     (tier, priority, (submitted + objective).saturating_sub(left))
 }
 
-/// Places what fits, in the order given. `rooms` is used up on the way.
-pub fn plan(rooms: &mut [WorkerRoom], demands: &[Demand]) -> StepPlan {
+/// Places what fits, in the order given. `rooms`, sorted by life, is used up on the way. `givers`
+/// says what more could be had on a worker; it is asked only where something tight is short.
+pub fn plan<F>(rooms: &mut [WorkerRoom<'_>], demands: &[Demand], givers: F) -> StepPlan
+where
+    F: Fn(LifeId) -> Givers,
+{
+    let mut asked = SortedMap::default();
     let mut plan = StepPlan::default();
     let mut kept = 0;
     for demand in demands {
@@ -167,7 +171,7 @@
                 Some(chosen) => take(rooms, demand, chosen, &mut plan),
                 None => {
                     plan.short.push(demand.step);
-                    make_room(rooms, demand, demand.tasks.len(), &mut plan);
+                    make_room(rooms, demand, demand.tasks.len(), &givers, &mut asked, &mut plan);
                     if kept < GANGS_WITH_KEPT_ROOM {
                         kept += 1;
                         keep_room(rooms, demand, &candidates);
@@ -178,7 +182,8 @@
             let chosen = place_each(rooms, demand, &mut candidates);
             if chosen.len() < demand.tasks.len() {
                 plan.short.push(demand.step);
-                make_room(rooms, demand, demand.tasks.len() - chosen.len(), &mut plan);
+                let missing = demand.tasks.len() - chosen.len();
+                make_room(rooms, demand, missing, &givers, &mut asked, &mut plan);
             }
             take(rooms, demand, chosen, &mut plan);
         }
@@ -197,11 +202,11 @@
     near: bool,
 }
 
-fn candidates(rooms: &[WorkerRoom], demand: &Demand) -> Vec<Candidate> {
+fn candidates(rooms: &[WorkerRoom<'_>], demand: &Demand) -> Vec<Candidate> {
     let candidate = |at: usize, ready: bool| {
         let room = &rooms[at];
-        let labelled = demand.required_label.as_ref().is_none_or(|l| room.labels.contains(l));
-        if room.service != demand.service || !labelled || !demand.need.fits_in(&room.free) {
+        let labelled = demand.required_label.as_ref().is_none_or(|l| room.info.labels.contains(l));
+        if room.info.service != demand.service || !labelled || !demand.need.fits_in(&room.free) {
             return None;
         }
         let most = match demand.max_per_worker {
@@ -211,7 +216,7 @@
                 most.saturating_sub(there.map_or(0, |(_, count)| *count))
             }
         };
-        let near = demand.data_rack.as_ref().is_none_or(|rack| *rack == room.rack);
+        let near = demand.data_rack.as_ref().is_none_or(|rack| rack == room.info.rack());
         (most > 0).then_some(Candidate { at, ready, most, near })
     };
     match &demand.allowed {
@@ -228,7 +233,7 @@
 
 /// One task after the other, each where the least room is left over.
 fn place_each(
-    rooms: &mut [WorkerRoom],
+    rooms: &mut [WorkerRoom<'_>],
     demand: &Demand,
     candidates: &mut [Candidate],
 ) -> Vec<(u32, Candidate)> {
@@ -257,7 +262,7 @@
 
 /// All tasks or none, on as few racks as possible where that matters.
 fn place_gang(
-    rooms: &mut [WorkerRoom],
+    rooms: &mut [WorkerRoom<'_>],
     demand: &Demand,
     candidates: &mut [Candidate],
 ) -> Option<Vec<(u32, Candidate)>> {
@@ -270,7 +275,7 @@
     if demand.same_rack {
         let mut racks: Vec<(&str, u64)> = Vec::new();
         for c in candidates.iter() {
-            let rack = rooms[c.at].rack.as_str();
+            let rack = rooms[c.at].info.rack();
             match racks.iter_mut().find(|(name, _)| *name == rack) {
                 Some((_, count)) => *count += u64::from(fits(c)),
                 None => racks.push((rack, u64::from(fits(c)))),
@@ -279,7 +284,7 @@
         let enough = racks.iter().filter(|(_, count)| *count >= wanted).min_by_key(|r| r.1);
         if let Some(rack) = enough.map(|(rack, _)| rack.to_string()) {
             let mut there: Vec<Candidate> =
-                candidates.iter().filter(|c| rooms[c.at].rack == rack).copied().collect();
+                candidates.iter().filter(|c| rooms[c.at].info.rack() == rack).copied().collect();
             return Some(place_each(rooms, demand, &mut there));
         }
     }
@@ -288,7 +293,16 @@
 
 /// Stops runs of lower priority that lose nothing by it, for tasks that are on time only if they
 /// start soon. What is being stopped already counts as room.
-fn make_room(rooms: &mut [WorkerRoom], demand: &Demand, count: usize, plan: &mut StepPlan) {
+fn make_room<F>(
+    rooms: &mut [WorkerRoom<'_>],
+    demand: &Demand,
+    count: usize,
+    givers: &F,
+    asked: &mut SortedMap<LifeId, Givers>,
+    plan: &mut StepPlan,
+) where
+    F: Fn(LifeId) -> Givers,
+{
     if !demand.tight || !demand.can_wait_for_stop {
         return;
     }
@@ -297,49 +311,62 @@
         Allowed::Any => true,
         Allowed::Only(lives) => lives.iter().any(|(id, _)| *id == life),
     };
-    let labelled =
-        |room: &WorkerRoom| demand.required_label.as_ref().is_none_or(|l| room.labels.contains(l));
+    let labelled = |room: &WorkerRoom<'_>| {
+        demand.required_label.as_ref().is_none_or(|l| room.info.labels.contains(l))
+    };
     for room in rooms.iter_mut() {
         if left == 0 {
             return;
         }
-        if room.service != demand.service || !allowed(room.life) || !labelled(room) {
+        if room.info.service != demand.service || !allowed(room.life) || !labelled(room) {
             continue;
         }
-        while left > 0 {
-            let mut soon = room.free.plus(&room.stopping);
-            let mut victims = 0;
-            let lower = |run: &&Pausable| run.priority > demand.priority;
-            for run in room.pausable.iter().filter(lower) {
-                if demand.need.fits_in(&soon) {
-                    break;
-                }
-                soon = soon.plus(&run.need);
-                victims += 1;
-            }
-            if !demand.need.fits_in(&soon) {
-                break;
-            }
-            let mut stopped: Vec<Pausable> = Vec::with_capacity(victims);
-            room.pausable.retain(|run| {
-                let stop = stopped.len() < victims && run.priority > demand.priority;
-                if stop {
-                    stopped.push(*run);
-                }
-                !stop
-            });
-            plan.pauses.extend(stopped.iter().map(|run| (room.life, run.task, run.run)));
-            // The room is this demand's from now on.
-            room.stopping = soon.minus(&room.free).minus(&demand.need.minus(&room.free));
-            room.free = room.free.minus(&demand.need);
+        let life = room.life;
+        let giver = asked.get_or_insert_with(life, || givers(life));
+        while left > 0 && give_room(room, giver, demand, plan) {
             left -= 1;
         }
     }
 }
 
+/// Finds room for one task on a worker where runs may be stopped for it. False when there is none.
+fn give_room(
+    room: &mut WorkerRoom<'_>,
+    giver: &mut Givers,
+    demand: &Demand,
+    plan: &mut StepPlan,
+) -> bool {
+    let mut soon = room.free.plus(&giver.stopping);
+    let mut victims = 0;
+    for run in giver.pausable.iter().filter(|run| run.priority > demand.priority) {
+        if demand.need.fits_in(&soon) {
+            break;
+        }
+        soon = soon.plus(&run.need);
+        victims += 1;
+    }
+    if !demand.need.fits_in(&soon) {
+        return false;
+    }
+    let mut stopped = 0;
+    giver.pausable.retain(|run| {
+        let stop = stopped < victims && run.priority > demand.priority;
+        if stop {
+            stopped += 1;
+            plan.pauses.push((room.life, run.task, run.run));
+        }
+        !stop
+    });
+    // The room is this demand's from now on.
+    let beyond_free = demand.need.minus(&room.free);
+    giver.stopping = soon.minus(&room.free).minus(&beyond_free);
+    room.free = room.free.minus(&demand.need);
+    true
+}
+
 /// Keeps what is free on the workers of a gang that does not fit, so that what ends there is not
 /// given to work behind it.
-fn keep_room(rooms: &mut [WorkerRoom], demand: &Demand, candidates: &[Candidate]) {
+fn keep_room(rooms: &mut [WorkerRoom<'_>], demand: &Demand, candidates: &[Candidate]) {
     let mut left = demand.tasks.len() as u32;
     for c in candidates {
         let room = &mut rooms[c.at];
@@ -356,7 +383,12 @@
 
 /// Notes what was chosen: placements where a start can be sent, renewals where not. A gang waits
 /// for all of its tickets; the room stays taken meanwhile.
-fn take(rooms: &[WorkerRoom], demand: &Demand, chosen: Vec<(u32, Candidate)>, plan: &mut StepPlan) {
+fn take(
+    rooms: &[WorkerRoom<'_>],
+    demand: &Demand,
+    chosen: Vec<(u32, Candidate)>,
+    plan: &mut StepPlan,
+) {
     let life = |c: &Candidate| rooms[c.at].life;
     let mut renew: Vec<LifeId> =
         chosen.iter().filter(|(_, c)| !c.ready).map(|(_, c)| life(c)).collect();
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -18,6 +18,10 @@
 const GONE_AFTER: Duration = Duration::from_secs(15);
 /// Longest wait for the answer to an order, beyond the time that the order itself may take.
 const ANSWER_WITHIN: Duration = Duration::from_millis(800);
+/// Longest wait for a host that sends an order for this one: a look that waits, and its answer.
+const CARRIED_WITHIN: Duration = Duration::from_millis(2_600);
+/// Up to this many workers the leader sends its orders itself.
+const DIRECT_WORKERS: usize = 96;
 
 impl Node {
     pub(crate) fn do_duties(&mut self) {
@@ -39,6 +43,9 @@
             return;
         }
         leader.next_check = now + CHECK_EVERY;
+        self.expire_orders();
+        let Some(group) = &mut self.group else { return };
+        let Some(leader) = &mut group.leader else { return };
         let mut commands = Vec::new();
         for id in &leader.scheduled {
             let Some(job) = group.state.job(*id) else { continue };
@@ -112,6 +119,7 @@
 
     fn give_orders(&mut self) {
         let now = self.now;
+
         let Some(group) = &mut self.group else { return };
         let Some(leader) = &mut group.leader else { return };
         let mut orders: Vec<(LifeId, dispatch::OrderId, Order)> = Vec::new();
@@ -122,18 +130,73 @@
                 orders.extend(due.map(|(id, order)| (life, id, order)));
             }
         }
+        if orders.is_empty() {
+            return;
+        }
+        let carriers = self.carriers();
+        let Some(group) = &mut self.group else { return };
+        let Some(leader) = &mut group.leader else { return };
         for (life, id, order) in orders {
             leader.last_order += 1;
             let number = leader.last_order;
             leader.orders.insert(number, OpenOrder { life, order: id, sent: now });
             let details = order_details(&group.state, leader, life, order);
-            if let Some(details) = details {
-                self.out.push(Output::Order(number, Box::new(details)));
+            let Some(details) = details.map(Box::new) else { continue };
+            if carriers.is_empty() {
+                let own = self.last_carried + 1;
+                self.last_carried = own;
+                self.carried.insert(own, (self.cfg.host.clone(), number));
+                self.out.push(Output::Order(own, details));
+            } else {
+                let carrier = &carriers[life as usize % carriers.len()];
+                let message = PeerMessage::Order { number, details };
+                self.out.push(Output::Send(carrier.clone(), message));
             }
         }
     }
 
-    pub(crate) fn on_ordered(&mut self, number: u64, answer: OrderAnswer) {
+    /// Other members of the group, which send the leader's orders where the workers are many.
+    fn carriers(&self) -> Vec<HostId> {
+        let Some(group) = &self.group else { return Vec::new() };
+        if group.state.lives().count() <= DIRECT_WORKERS {
+            return Vec::new();
+        }
+        let members = group.raft.config().members();
+        let mut here = self.known.present(self.now);
+        here.retain(|host| *host != self.cfg.host && members.iter().any(|m| m.host == *host));
+        here
+    }
+
+    /// The leader asks this host to send an order.
+    pub(crate) fn on_order(&mut self, from: HostId, number: u64, details: Box<OrderDetails>) {
+        let own = self.last_carried + 1;
+        self.last_carried = own;
+        self.carried.insert(own, (from, number));
+        self.out.push(Output::Order(own, details));
+    }
+
+    /// The answer to an order that this host sent.
+    pub(crate) fn on_ordered(&mut self, own: u64, answer: OrderAnswer) {
+        let Some((host, number)) = self.carried.remove(&own) else { return };
+        if host == self.cfg.host {
+            self.on_order_answered(number, answer);
+        } else {
+            self.send(&host, PeerMessage::Ordered { number, answer });
+        }
+    }
+
+    /// Orders whose carrier has not come back to this host.
+    fn expire_orders(&mut self) {
+        let now = self.now;
+        let Some(leader) = self.leader_mut() else { return };
+        let late = leader.orders.iter().filter(|(_, open)| now >= open.sent + CARRIED_WITHIN);
+        let late: Vec<u64> = late.map(|(number, _)| *number).collect();
+        for number in late {
+            self.on_order_answered(number, OrderAnswer::Silence);
+        }
+    }
+
+    pub(crate) fn on_order_answered(&mut self, number: u64, answer: OrderAnswer) {
         let now = self.now;
         let Some(leader) = self.leader_mut() else { return };
         let Some(OpenOrder { life, order, sent }) = leader.orders.remove(&number) else { return };
@@ -214,13 +277,13 @@
 ) -> Option<OrderDetails> {
     let info = &state.life(life)?.info;
     let mut limit = ANSWER_WITHIN;
-    let (mut request, mut saved, mut ticket) = (None, None, None);
+    let (mut spec, mut saved, mut ticket) = (None, None, None);
     match &order {
         Order::Hold { wait, .. } => limit += *wait,
         Order::Stop { .. } => {}
         Order::Start { task, .. } => {
             let job = state.job(task.step.job)?;
-            request = job.request.clone();
+            spec = job.request.as_ref().map(|request| request.spec.clone());
             let found = job.step(task.step)?.tasks.get(task.index as usize)?;
             saved = found.saved.clone();
             let advice = leader.advice.step(task.step);
@@ -233,7 +296,7 @@
         born: info.born,
         order,
         fence: leader.term,
-        request,
+        spec,
         saved,
         ticket,
         limit,
--- a/crates/scheduler/src/gossip.rs
+++ b/crates/scheduler/src/gossip.rs
@@ -143,6 +143,8 @@
             M::Call { id, call } => self.on_peer_call(from, id, *call),
             M::Answer { id, answer } => self.on_answer(id, *answer),
             M::NotLeader { id, leader } => self.on_not_leader(&from, id, leader),
+            M::Order { number, details } => self.on_order(from, number, details),
+            M::Ordered { number, answer } => self.on_order_answered(number, answer),
             M::Advise { number, step, workers, limit } => {
                 self.on_advise(from, number, step, workers, limit)
             }
--- a/crates/scheduler/src/io.rs
+++ b/crates/scheduler/src/io.rs
@@ -4,7 +4,8 @@
 use crate::message::PeerMessage;
 use consensus::{Config, Ready, Term};
 use dispatch::{Order, OrderAnswer};
-use jobs::{Configuration, JobRequest, StepRef};
+use jobs::{Configuration, StepRef};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 use types::{ExchangeId, HostId, Refusal, Timestamp, WorkerId};
@@ -31,7 +32,7 @@
 }
 
 /// All that a carrier needs to send an order.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OrderDetails {
     /// The worker.
     pub worker: WorkerId,
@@ -43,8 +44,8 @@
     pub order: Order,
     /// Fence of the leader.
     pub fence: Term,
-    /// For a start, the job that it belongs to.
-    pub request: Option<Arc<JobRequest>>,
+    /// For a start, the text that the job's tasks get.
+    pub spec: Option<String>,
     /// For a start, saved progress to go on from.
     pub saved: Option<String>,
     /// For a start, the ticket.
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -1,7 +1,9 @@
 //! What hosts say to each other.
 
 use crate::call::{Answer, Call};
+use crate::io::OrderDetails;
 use consensus::{Config, Entry, Envelope, Message, Payload, Term};
+use dispatch::OrderAnswer;
 use jobs::Configuration;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -77,6 +79,20 @@
         /// Who does, where known.
         leader: Option<HostId>,
     },
+    /// Send this order to its worker, please.
+    Order {
+        /// The sender's number for it.
+        number: u64,
+        /// The order.
+        details: Box<OrderDetails>,
+    },
+    /// The answer to an order.
+    Ordered {
+        /// The number of the order.
+        number: u64,
+        /// The answer.
+        answer: OrderAnswer,
+    },
     /// Ask the advice service, please.
     Advise {
         /// The sender's number for it.
@@ -108,6 +124,7 @@
                 _ => 0,
             },
             PeerMessage::Configuration(configuration) => configuration.document.len() * 2,
+            PeerMessage::Order { details, .. } => details.spec.as_ref().map_or(0, String::len),
             PeerMessage::Call { call, .. } => match &**call {
                 Call::Submit { request, .. } => request.spec.len(),
                 Call::Configure(configuration) => configuration.document.len() * 2,
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -69,6 +69,9 @@
     pub(crate) last_call: u64,
     pub(crate) advice_for: SortedMap<u64, (HostId, u64)>,
     pub(crate) last_advice: u64,
+    /// Orders that this host sends for the leader, by its own number.
+    pub(crate) carried: SortedMap<u64, (HostId, u64)>,
+    pub(crate) last_carried: u64,
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) draining: bool,
     pub(crate) out: Vec<Output>,
@@ -96,6 +99,8 @@
             last_call: rng.u64(..) >> 16,
             advice_for: SortedMap::default(),
             last_advice: 0,
+            carried: SortedMap::default(),
+            last_carried: 0,
             configuration: Arc::default(),
             draining: false,
             out: Vec::new(),
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -6,12 +6,16 @@
 use dispatch::AdviceCall;
 use jobs::{Command, Job, LifeId, Placement, Progress, Room, RunNumber, State, StepRef, TaskRef};
 use placement::speeds::Speeds;
-use placement::steps::{plan, rank, Allowed, Demand, Pausable, Urgency, WorkerRoom};
+use placement::steps::{plan, rank, Allowed, Demand, Givers, Pausable, Urgency, WorkerRoom};
 use std::time::Duration;
 use types::{HostId, Timestamp};
 
 /// A run of which this many percent are done is not stopped for another.
 const NEARLY_DONE: u32 = 75;
+/// Workers are asked about until this many times the tasks that wait should find room.
+const ASKED_OVER: f64 = 2.0;
+/// Least workers that a first call names.
+const LEAST_ASKED: usize = 8;
 /// Tasks placed by one command.
 const MAX_TASKS_PER_COMMAND: usize = 256;
 
@@ -65,28 +69,27 @@
         self.advice.set_callers(callers);
         self.ready.retain(|step| state.job(step.job).is_some_and(|job| job.is_ready(*step)));
         let mut rooms = self.rooms(state, now);
-        let mut calls = Vec::new();
-        let mut ranked = Vec::new();
-        for step in self.ready.clone() {
+        let mut ranked = Vec::with_capacity(self.ready.len());
+        for step in &self.ready {
             let Some(job) = state.job(step.job) else { continue };
-            let urgency = urgency(state, job, step, &self.speeds);
-            let rank = rank(&urgency, now);
-            if let Some(mut demand) = self.demand(state, job, step, &rooms, now, &mut calls) {
-                demand.tight = urgency.is_tight(now);
-                let due = urgency.submitted + urgency.objective;
-                demand.can_wait_for_stop = now + self.stop_time + urgency.left <= due;
-                ranked.push((rank, demand));
+            let urgency = urgency(state, job, *step, &self.speeds);
+            ranked.push((rank(&urgency, now), *step, urgency));
+        }
+        ranked.sort_by_key(|(rank, step, _)| (*rank, *step));
+        let mut calls = Vec::new();
+        let mut demands = Vec::with_capacity(ranked.len());
+        for (_, step, urgency) in ranked {
+            match self.demand(state, step, &urgency, now) {
+                Some(demand) => demands.push(demand),
+                None => calls.extend(self.ask_about_more(state, step, &rooms, now)),
             }
         }
-        ranked.sort_by_key(|(rank, demand)| (*rank, demand.step));
-        let demands: Vec<Demand> = ranked.into_iter().map(|(_, demand)| demand).collect();
-        let decided = plan(&mut rooms, &demands);
+        let decided = plan(&mut rooms, &demands, |life| self.givers(state, life));
         for (step, lives) in decided.renew {
             calls.extend(self.ask(state, step, lives, now));
         }
         for step in &decided.short {
-            let unknown = self.unknown_lives(state, *step, &rooms);
-            calls.extend(self.ask(state, *step, unknown, now));
+            calls.extend(self.ask_about_more(state, *step, &rooms, now));
         }
         let mut count = 0;
         let mut placements = decided.placements;
@@ -98,31 +101,25 @@
         Decided { placements, calls, pauses: decided.pauses }
     }
 
-    fn rooms(&self, state: &State, now: Timestamp) -> Vec<WorkerRoom> {
+    fn rooms<'a>(&self, state: &'a State, now: Timestamp) -> Vec<WorkerRoom<'a>> {
         let usable = |id: LifeId| self.sessions.get(&id).is_some_and(|s| s.is_usable(now));
         let lives = state.lives().filter(|life| !life.info.draining && usable(life.id));
-        let room = |life: &jobs::Life| {
-            let (stopping, pausable) = self.givers(state, life);
-            WorkerRoom {
-                life: life.id,
-                service: life.info.service.clone(),
-                rack: life.info.rack().to_string(),
-                labels: life.info.labels.clone(),
-                capacity: life.info.capacity,
-                free: life.free(),
-                slowness: self.speeds.slowness(life.id),
-                stopping,
-                pausable,
-            }
+        let room = |life: &'a jobs::Life| WorkerRoom {
+            life: life.id,
+            info: &life.info,
+            free: life.free(),
+            slowness: self.speeds.slowness(life.id),
         };
         lives.map(room).collect()
     }
 
     /// Room on a worker that is free soon, and runs that could be stopped without loss.
-    fn givers(&self, state: &State, life: &jobs::Life) -> (Room, Vec<Pausable>) {
+    fn givers(&self, state: &State, life: LifeId) -> Givers {
         let mut stopping = Room::default();
         let mut pausable: Vec<(u32, Pausable)> = Vec::new();
-        let Some(session) = self.sessions.get(&life.id) else { return (stopping, Vec::new()) };
+        let (Some(session), Some(life)) = (self.sessions.get(&life), state.life(life)) else {
+            return Givers::default();
+        };
         for status in session.runs() {
             let of_life = |run: &&jobs::Run| (run.task, run.run) == (status.task, status.run);
             let Some(run) = life.runs.iter().find(of_life) else { continue };
@@ -141,31 +138,25 @@
             }
         }
         pausable.sort_by_key(|(percent, _)| *percent);
-        (stopping, pausable.into_iter().map(|(_, run)| run).collect())
+        Givers { stopping, pausable: pausable.into_iter().map(|(_, run)| run).collect() }
     }
 
     /// What a step wants, or `None` while it is not known which workers may run it.
     fn demand(
-        &mut self,
+        &self,
         state: &State,
-        job: &Job,
         step: StepRef,
-        rooms: &[WorkerRoom],
+        urgency: &Urgency,
         now: Timestamp,
-        calls: &mut Vec<AdviceCall>,
     ) -> Option<Demand> {
+        let job = state.job(step.job)?;
         let spec = state.spec(step)?;
         let progress = job.step(step)?;
         let policy = state.policy(job.queue);
         let allowed = match &policy.advice {
             None => Allowed::Any,
             Some(advice) => {
-                let known = self.advice.step(step).filter(|known| known.is_known());
-                let Some(known) = known else {
-                    let lives = self.unknown_lives(state, step, rooms);
-                    calls.extend(self.ask(state, step, lives, now));
-                    return None;
-                };
+                let known = self.advice.step(step).filter(|known| known.is_known())?;
                 Allowed::Only(known.good(now, advice.ticket_life).collect())
             }
         };
@@ -192,27 +183,50 @@
             service: policy.service.clone(),
             allowed,
             placed,
-            tight: false,
+            tight: urgency.is_tight(now),
             priority: policy.priority,
-            can_wait_for_stop: false,
+            can_wait_for_stop: now + self.stop_time + urgency.left
+                <= urgency.submitted + urgency.objective,
         })
     }
 
-    /// Workers that could hold a task of the step and were not asked about.
-    fn unknown_lives(&self, state: &State, step: StepRef, rooms: &[WorkerRoom]) -> Vec<LifeId> {
-        let (Some(spec), Some(job)) = (state.spec(step), state.job(step.job)) else {
-            return Vec::new();
-        };
-        let service = &state.policy(job.queue).service;
+    /// Asks about workers that could hold a task of the step and were not asked about: about as
+    /// many as should be enough, those with the most room first.
+    fn ask_about_more(
+        &mut self,
+        state: &State,
+        step: StepRef,
+        rooms: &[WorkerRoom<'_>],
+        now: Timestamp,
+    ) -> Option<AdviceCall> {
+        let (spec, job) = (state.spec(step)?, state.job(step.job)?);
+        let policy = state.policy(job.queue);
+        policy.advice?;
         let known = self.advice.step(step);
-        let fits = |room: &&WorkerRoom| {
-            let labelled = spec.required_label.as_ref().is_none_or(|l| room.labels.contains(l));
-            room.service == *service
+        if known.is_some_and(|known| known.is_pending()) {
+            return None;
+        }
+        let need = spec.charge();
+        let fits = |room: &&WorkerRoom<'_>| {
+            let labelled =
+                spec.required_label.as_ref().is_none_or(|l| room.info.labels.contains(l));
+            room.info.service == policy.service
                 && labelled
-                && spec.charge().fits_in(&room.capacity)
+                && need.fits_in(&room.info.capacity)
                 && !known.is_some_and(|known| known.knows(room.life))
         };
-        rooms.iter().filter(fits).map(|room| room.life).collect()
+        let mut unknown: Vec<&WorkerRoom<'_>> = rooms.iter().filter(fits).collect();
+        unknown.sort_by_key(|room| std::cmp::Reverse((need.count_in(&room.free), room.free.cpu)));
+        let waiting = job.step(step)?.waiting().count() as f64;
+        let wanted = waiting * ASKED_OVER / self.advice.good_share(job.queue);
+        let mut expected = 0.0;
+        let enough = unknown.iter().position(|room| {
+            expected += f64::from(need.count_in(&room.free).min(spec.max_per_worker.max(1) * 8));
+            expected >= wanted
+        });
+        let count = enough.map_or(unknown.len(), |i| i + 1).max(LEAST_ASKED);
+        let lives = unknown.iter().take(count).map(|room| room.life).collect();
+        self.ask(state, step, lives, now)
     }
 
     fn ask(
@@ -224,7 +238,7 @@
     ) -> Option<AdviceCall> {
         let queue = state.job(step.job)?.queue;
         let policy = state.policy(queue).advice?;
-        self.advice.ask(step, lives, &policy, now)
+        self.advice.ask(step, queue, lives, &policy, now)
     }
 }
 
