Play random histories of the scheduling group against an oracle

Change: a world in virtual time (hosts, disks, cuts, freezes, wiped folders, crashed and unreachable workers, orders carried out late) drives the same Node that the process drives; the oracle sees every start. Three mechanisms can be switched off, and the histories name the fault.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,7 +6,7 @@
 //! said about which workers may run a step, and spreads calls over the hosts that make them.
 //!
 //! ```
-//! use dispatch::{Session, SessionConfig};
+//! use dispatch::{Session, SessionConfig, Weakening};
 //! use std::time::Duration;
 //!
 //! let now = Duration::from_secs(100);
@@ -21,4 +21,4 @@
 
 pub use advice::{AdviceBook, AdviceCall, StepAdvice, Ticket, MAX_WORKERS_PER_CALL};
 pub use order::{Listed, Look, Order, OrderAnswer, OrderId, Refused};
-pub use session::{Expected, Fact, RunStatus, Session, SessionConfig};
+pub use session::{Expected, Fact, RunStatus, Session, SessionConfig, Weakening};
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -5,6 +5,20 @@
 use std::time::Duration;
 use types::{JobId, Timestamp};
 
+/// One mechanism switched off. Only tests set anything but `None`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Weakening {
+    /// All mechanisms work.
+    #[default]
+    None,
+    /// A new leader does not wait for the leases of an earlier one.
+    ForgetEarlierLeases,
+    /// A run that a worker does not list is given up, though its start may still be carried out.
+    TrustAbsence,
+    /// Ends are forgotten by the worker before the log has them.
+    NoteEndsEarly,
+}
+
 /// Times that a session keeps.
 #[derive(Clone, Debug)]
 pub struct SessionConfig {
@@ -20,6 +34,8 @@
     pub suspect_after: Duration,
     /// Longest time for which an earlier leader may have gone on renewing leases.
     pub predecessor: Duration,
+    /// Mechanism switched off, to show that a check notices.
+    pub weakening: Weakening,
 }
 
 impl Default for SessionConfig {
@@ -31,6 +47,7 @@
             retry: Duration::from_millis(150),
             suspect_after: Duration::from_millis(1_800),
             predecessor: Duration::from_millis(1_500),
+            weakening: Weakening::None,
         }
     }
 }
@@ -423,7 +440,11 @@
                 let news: Vec<End> =
                     look.ended.into_iter().filter(|end| end.number > self.last_seen).collect();
                 if let Some(last) = news.last() {
-                    self.noting = Some(last.number);
+                    if self.cfg.weakening == Weakening::NoteEndsEarly {
+                        self.last_seen = last.number;
+                    } else {
+                        self.noting = Some(last.number);
+                    }
                     self.facts.push(Fact::Ended(news));
                 }
             }
@@ -451,7 +472,8 @@
             return;
         }
         self.settled = true;
-        if let Some(clock) = self.clock {
+        let waits = self.cfg.weakening != Weakening::ForgetEarlierLeases;
+        if let Some(clock) = self.clock.filter(|_| waits) {
             let longest = clock.millis + self.cfg.lease.as_millis() as u64;
             self.leased_until = self.leased_until.max(longest);
         }
@@ -481,7 +503,8 @@
             }
             // Absent: certain only where the worker had acknowledged the order before this look
             // was sent. A start that got no answer may still be carried out.
-            let certain = matches!(entry.stage, Stage::Running | Stage::Stopped);
+            let certain = matches!(entry.stage, Stage::Running | Stage::Stopped)
+                || self.cfg.weakening == Weakening::TrustAbsence;
             if certain && entry.since < sent && !entry.reported {
                 entry.reported = true;
                 lost.push((entry.task, entry.run));
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -64,7 +64,7 @@
     }
 
     fn queue(&mut self, to: &HostId) -> Option<&Queue> {
-        if !self.queues.get(to).is_some_and(|queue| !queue.tx.is_closed()) {
+        if self.queues.get(to).is_none_or(|queue| queue.tx.is_closed()) {
             let addr = match to.parse() {
                 Ok(ip) => SocketAddr::new(ip, self.port),
                 Err(e) => {
--- /dev/null
+++ b/crates/scheduler/tests/histories.rs
@@ -0,0 +1,216 @@
+//! Random histories of a cell against an oracle: kills, freezes, cuts, wiped disks, crashed and
+//! unreachable workers, orders that are carried out late.
+//!
+//! `EBONYWALK_HISTORIES` and `EBONYWALK_SEED` change how many are played and from which seed.
+
+mod world;
+
+use dispatch::Weakening;
+use jobs::Phase;
+use world::{World, DISKS, HOSTS, WORKERS};
+
+const DEFAULT_HISTORIES: u64 = 40;
+const DEFAULT_SEED: u64 = 31;
+/// Time of one history with faults, in milliseconds.
+const FAULTS_FOR: u64 = 40_000;
+/// After the last fault, everything that was accepted is over within this time: leases of 6 s and
+/// the work of a full queue.
+const SETTLED_AFTER: u64 = 60_000;
+
+fn setting(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+#[derive(Default)]
+struct Pending {
+    restart: Vec<(u64, usize)>,
+    heal: Option<u64>,
+    heal_workers: Option<u64>,
+    revive: Vec<(u64, usize)>,
+    wiped_at: Option<u64>,
+}
+
+/// One random fault.
+fn fault(world: &mut World, pending: &mut Pending) {
+    let now = world.now;
+    let disks_up = (0..DISKS).filter(|i| world.is_up(*i)).count();
+    match world.rng.u8(..9) {
+        0 => {
+            let i = world.rng.usize(..HOSTS);
+            if world.is_up(i) {
+                world.kill(i);
+                let back = now + world.rng.u64(200..4_000);
+                pending.restart.push((back, i));
+            }
+        }
+        1 => {
+            let i = world.leader().unwrap_or(0);
+            let span = world.rng.u64(300..7_000);
+            world.freeze(i, span);
+        }
+        2 => {
+            let i = world.rng.usize(..HOSTS);
+            let span = world.rng.u64(300..3_000);
+            world.freeze(i, span);
+        }
+        3 => {
+            let i = world.leader().unwrap_or_else(|| world.rng.usize(..DISKS));
+            world.cut.insert(i);
+            pending.heal = Some(now + world.rng.u64(500..7_000));
+        }
+        4 => {
+            let i = world.rng.usize(..HOSTS);
+            world.cut.insert(i);
+            pending.heal = Some(now + world.rng.u64(500..7_000));
+        }
+        // One disk at a time, and none before the last one was made up for.
+        5 if disks_up == DISKS
+            && world.cut.is_empty()
+            && pending.wiped_at.is_none_or(|at| now > at + 15_000) =>
+        {
+            let i = world.rng.usize(..DISKS);
+            world.wipe(i);
+            pending.wiped_at = Some(now);
+            pending.restart.push((now + world.rng.u64(200..2_000), i));
+        }
+        6 => {
+            let w = world.rng.usize(..WORKERS);
+            if world.workers[w].up {
+                world.crash_worker(w);
+                pending.revive.push((now + world.rng.u64(100..6_000), w));
+            }
+        }
+        7 => {
+            for _ in 0..world.rng.usize(1..=2) {
+                let w = world.rng.usize(..WORKERS);
+                world.cut_workers.insert(w);
+            }
+            pending.heal_workers = Some(now + world.rng.u64(500..9_000));
+        }
+        8 => world.late_orders = world.rng.u32(..8),
+        _ => {}
+    }
+}
+
+fn recover(world: &mut World, pending: &mut Pending, all: bool) {
+    let now = world.now;
+    let due = |at: u64| all || now >= at;
+    let restart = std::mem::take(&mut pending.restart);
+    for (at, i) in restart {
+        if due(at) {
+            world.start(i, false);
+        } else {
+            pending.restart.push((at, i));
+        }
+    }
+    let revive = std::mem::take(&mut pending.revive);
+    for (at, w) in revive {
+        if due(at) {
+            world.revive_worker(w);
+        } else {
+            pending.revive.push((at, w));
+        }
+    }
+    if pending.heal.is_some_and(due) {
+        world.cut.clear();
+        pending.heal = None;
+    }
+    if pending.heal_workers.is_some_and(due) {
+        world.cut_workers.clear();
+        pending.heal_workers = None;
+    }
+    if all {
+        world.late_orders = 0;
+    }
+}
+
+/// Plays one history. The error says what was broken.
+fn play(seed: u64, weakening: Weakening) -> Result<u64, String> {
+    let mut world = World::new(seed, weakening);
+    world.configure(1);
+    world.run_until(4_000);
+    let mut pending = Pending::default();
+    let mut ids = Vec::new();
+    let end = world.now + FAULTS_FOR;
+    while world.now < end {
+        let next = world.now + world.rng.u64(20..400);
+        world.run_until(next);
+        if !world.broken.is_empty() {
+            return Err(world.broken.join("\n"));
+        }
+        recover(&mut world, &mut pending, false);
+        if world.rng.u8(..5) == 0 {
+            fault(&mut world, &mut pending);
+        }
+        if world.rng.u8(..3) > 0 {
+            ids.push(world.submit());
+        }
+        if world.rng.u8(..20) == 0 && !ids.is_empty() {
+            let id = ids[world.rng.usize(..ids.len())];
+            world.cancel(id);
+        }
+        if world.rng.u8(..8) == 0 {
+            world.ask_all();
+        }
+    }
+    recover(&mut world, &mut pending, true);
+    let settled = world.now + SETTLED_AFTER;
+    while world.now < settled {
+        let next = world.now + 2_000;
+        world.run_until(next);
+        world.ask_all();
+    }
+    world.run_until(settled + 3_000);
+    if !world.broken.is_empty() {
+        return Err(world.broken.join("\n"));
+    }
+    let over = |shown: Option<Phase>| shown.is_some_and(Phase::is_over);
+    let open = world.jobs.iter().filter(|(_, known)| known.accepted && !over(known.shown));
+    let open: Vec<String> = open.map(|(id, known)| format!("{id:x} {:?}", known.shown)).collect();
+    if !open.is_empty() {
+        return Err(format!("{} accepted jobs are not over: {}", open.len(), open[0]));
+    }
+    Ok(world.starts)
+}
+
+#[test]
+fn promises_hold_in_random_histories() {
+    let first = setting("EBONYWALK_SEED", DEFAULT_SEED);
+    let count = setting("EBONYWALK_HISTORIES", DEFAULT_HISTORIES);
+    println!("histories: {count} from seed {first}");
+    let mut starts = 0;
+    for seed in first..first + count {
+        match play(seed, Weakening::None) {
+            Ok(count) => starts += count,
+            Err(cause) => panic!("seed {seed}: {cause}"),
+        }
+    }
+    assert!(starts > count * 50, "only {starts} starts: the histories prove nothing");
+}
+
+/// With a mechanism off, some history must break the promise that it keeps.
+fn notices(weakening: Weakening, fault: &str) {
+    let first = setting("EBONYWALK_SEED", DEFAULT_SEED);
+    for seed in first..first + DEFAULT_HISTORIES {
+        if let Err(cause) = play(seed, weakening) {
+            assert!(cause.contains(fault), "seed {seed}: another fault: {cause}");
+            return;
+        }
+    }
+    panic!("{weakening:?} is not noticed from seed {first} on");
+}
+
+#[test]
+fn notices_a_leader_that_forgets_earlier_leases() {
+    notices(Weakening::ForgetEarlierLeases, "runs twice");
+}
+
+#[test]
+fn notices_a_leader_that_trusts_absence() {
+    notices(Weakening::TrustAbsence, "runs twice");
+}
+
+#[test]
+fn notices_ends_that_are_forgotten_too_early() {
+    notices(Weakening::NoteEndsEarly, "is done already");
+}
