--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -289,6 +289,27 @@
         stats
     }
 
+    /// The group's members with their roles, as this host knows them.
+    pub fn members(&self) -> Vec<(HostId, Role)> {
+        let Some(group) = &self.group else { return Vec::new() };
+        group.raft.config().members().iter().map(|m| (m.host.clone(), m.role)).collect()
+    }
+
+    /// How this host stands, in a line for people.
+    pub fn describe(&self) -> String {
+        let Some(group) = &self.group else { return "not in the group".to_string() };
+        let raft = &group.raft;
+        let voters = raft.config().voters().map(|id| format!("{id:x}")).collect::<Vec<_>>();
+        format!(
+            "term {}, leads {}, commit {}, last {}, voters {}",
+            raft.term(),
+            self.leads(),
+            raft.commit_index(),
+            raft.last_index(),
+            voters.join(" ")
+        )
+    }
+
     /// The replicated state, where this host is a member of the group.
     pub fn state(&self) -> Option<&jobs::State> {
         self.group.as_ref().map(|group| &group.state)
--- a/crates/scheduler/src/repair.rs
+++ b/crates/scheduler/src/repair.rs
@@ -18,7 +18,10 @@
                 config.members().iter().any(|m| m.host == *host && m.role == Role::Voter);
             replaces || voters < self.cfg.voters
         };
-        let asked = self.newcomers.hosts();
+        // A learner may have been taken in by an earlier leader, whom it asked.
+        let learners = config.members().iter().filter(|m| m.role == Role::Learner);
+        let mut asked = self.newcomers.hosts();
+        asked.extend(learners.map(|m| m.host.clone()));
         let intended: Vec<(HostId, Role)> = asked
             .into_iter()
             .map(|host| {
