Ask for advice widely while callers are idle; pause only after that

Change: a call names up to 48 workers or six times the need while a caller is idle, else twice the need; runs are paused only for steps that asked about 48.

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -70,6 +70,11 @@
         self.asked.binary_search(&life).is_ok()
     }
 
+    /// How many lives were asked about.
+    pub fn asked(&self) -> usize {
+        self.asked.len()
+    }
+
     /// Whether any life was asked about.
     pub fn is_known(&self) -> bool {
         !self.asked.is_empty()
@@ -148,6 +153,13 @@
         share.clamp(0.05, 1.0)
     }
 
+    /// Whether a host could make a call at once, so that a wide one holds up nobody.
+    pub fn is_quiet(&self, policy: &AdvicePolicy, now: Timestamp) -> bool {
+        let duration = policy.duration(1);
+        let caller = self.choose_caller(duration, now);
+        caller.is_some_and(|host| self.callers.get(&host).is_some_and(|c| c.busy_until <= now))
+    }
+
     /// Sets the hosts that can make calls.
     pub fn set_callers(&mut self, hosts: &[HostId]) {
         self.callers.retain(|host, _| hosts.contains(host));
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -12,10 +12,13 @@
 
 /// A run of which this many percent are done is not stopped for another.
 const NEARLY_DONE: u32 = 75;
-/// Workers are asked about until this many times the tasks that wait should find room.
-const ASKED_OVER: f64 = 2.0;
-/// Least workers that a first call names.
-const LEAST_ASKED: usize = 8;
+/// Workers are asked about until so many times the tasks that wait should find room, and at least
+/// so many: the choice is worth more than the call while callers are idle.
+const ASKED_WIDELY: (f64, usize) = (6.0, 48);
+/// The same while calls wait for each other.
+const ASKED_NARROWLY: (f64, usize) = (2.0, 8);
+/// Runs are paused for a step only once this many workers, or all, were asked about.
+const ASKED_BEFORE_PAUSING: usize = 48;
 /// Tasks placed by one command.
 const MAX_TASKS_PER_COMMAND: usize = 256;
 
@@ -153,10 +156,13 @@
         let spec = state.spec(step)?;
         let progress = job.step(step)?;
         let policy = state.policy(job.queue);
+        let mut asked_enough = true;
         let allowed = match &policy.advice {
             None => Allowed::Any,
             Some(advice) => {
                 let known = self.advice.step(step).filter(|known| known.is_known())?;
+                let enough = ASKED_BEFORE_PAUSING.min(self.usable(now));
+                asked_enough = known.asked() >= enough;
                 Allowed::Only(known.good(now, advice.ticket_life).collect())
             }
         };
@@ -185,8 +191,8 @@
             placed,
             tight: urgency.is_tight(now),
             priority: policy.priority,
-            can_wait_for_stop: now + self.stop_time + urgency.left
-                <= urgency.submitted + urgency.objective,
+            can_wait_for_stop: asked_enough
+                && now + self.stop_time + urgency.left <= urgency.submitted + urgency.objective,
         })
     }
 
@@ -201,7 +207,7 @@
     ) -> Option<AdviceCall> {
         let (spec, job) = (state.spec(step)?, state.job(step.job)?);
         let policy = state.policy(job.queue);
-        policy.advice?;
+        let advice = policy.advice?;
         let known = self.advice.step(step);
         if known.is_some_and(|known| known.is_pending()) {
             return None;
@@ -218,13 +224,15 @@
         let mut unknown: Vec<&WorkerRoom<'_>> = rooms.iter().filter(fits).collect();
         unknown.sort_by_key(|room| std::cmp::Reverse((need.count_in(&room.free), room.free.cpu)));
         let waiting = job.step(step)?.waiting().count() as f64;
-        let wanted = waiting * ASKED_OVER / self.advice.good_share(job.queue);
+        let quiet = self.advice.is_quiet(&advice, now);
+        let (over, least) = if quiet { ASKED_WIDELY } else { ASKED_NARROWLY };
+        let wanted = waiting * over / self.advice.good_share(job.queue);
         let mut expected = 0.0;
         let enough = unknown.iter().position(|room| {
             expected += f64::from(need.count_in(&room.free).min(spec.max_per_worker.max(1) * 8));
             expected >= wanted
         });
-        let count = enough.map_or(unknown.len(), |i| i + 1).max(LEAST_ASKED);
+        let count = enough.map_or(unknown.len(), |i| i + 1).max(least);
         let lives = unknown.iter().take(count).map(|room| room.life).collect();
         self.ask(state, step, lives, now)
     }
