--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -19,6 +19,8 @@
 const ASKED_NARROWLY: (f64, usize) = (2.0, 8);
 /// Runs are paused for a step only once this many workers, or all, were asked about.
 const ASKED_BEFORE_PAUSING: usize = 48;
+/// Where a stop takes longer than this, work that is tight would be late all the same.
+const QUICK_STOP: Duration = Duration::from_millis(400);
 /// Tasks placed by one command.
 const MAX_TASKS_PER_COMMAND: usize = 256;
 
@@ -192,6 +194,7 @@
             tight: urgency.is_tight(now),
             priority: policy.priority,
             can_wait_for_stop: asked_enough
+                && self.stop_time <= QUICK_STOP
                 && now + self.stop_time + urgency.left <= urgency.submitted + urgency.objective,
         })
     }
