Play a burst against the placement pass; try bad input on the adapter

Change: tests of the pass by hand and under a burst (urgent work on time: at least 9 of 10 ranked and with pauses, less than half of that in order of arrival); tables of bad jobs, configurations, heartbeats and settings, each answered with field and cause.

--- /dev/null
+++ b/crates/placement/tests/steps.rs
@@ -0,0 +1,244 @@
+//! Passes over steps that wait, by hand and under load.
+
+use jobs::{LifeId, Placement, Room, StepRef, TaskRef, WorkerInfo};
+use placement::steps::{
+    plan, rank, Allowed, Demand, Givers, Pausable, StepPlan, Urgency, WorkerRoom,
+};
+use std::time::Duration;
+
+const CORES: u64 = 8_000;
+
+fn info(rack: &str) -> WorkerInfo {
+    WorkerInfo {
+        service: "crunch".into(),
+        capacity: Room { cpu: CORES, memory: 1_000, gpu: 0 },
+        labels: vec!["a".into(), rack.into()],
+        ..WorkerInfo::default()
+    }
+}
+
+fn rooms<'a>(infos: &'a [WorkerInfo], free: &[u64]) -> Vec<WorkerRoom<'a>> {
+    let room = |(i, (info, cpu)): (usize, (&'a WorkerInfo, &u64))| WorkerRoom {
+        life: i as LifeId + 1,
+        info,
+        free: Room { cpu: *cpu, memory: 1_000, gpu: 0 },
+        slowness: 100,
+    };
+    infos.iter().zip(free).enumerate().map(room).collect()
+}
+
+fn step(job: u64) -> StepRef {
+    StepRef { job, occurrence: 0, step: 0 }
+}
+
+fn demand(job: u64, tasks: u32, cpu: u64) -> Demand {
+    Demand {
+        step: step(job),
+        tasks: (0..tasks).collect(),
+        need: Room { cpu, memory: 10, gpu: 0 },
+        gang: false,
+        same_rack: false,
+        required_label: None,
+        data_rack: None,
+        max_per_worker: 0,
+        service: "crunch".into(),
+        allowed: Allowed::Any,
+        placed: Vec::new(),
+        tight: false,
+        priority: 1,
+        can_wait_for_stop: false,
+    }
+}
+
+fn run(rooms: &mut [WorkerRoom<'_>], demands: &[Demand]) -> StepPlan {
+    plan(rooms, demands, |_| Givers::default())
+}
+
+fn placed(plan: &StepPlan, job: u64) -> usize {
+    let of_job = |p: &&Placement| p.step == step(job);
+    plan.placements.iter().filter(of_job).map(|p| p.tasks.len()).sum()
+}
+
+#[test]
+fn no_worker_gets_more_than_it_has() {
+    let infos = vec![info("r1"); 3];
+    let plan = run(&mut rooms(&infos, &[8_000, 5_000, 1_000]), &[demand(1, 9, 2_000)]);
+    assert_eq!(placed(&plan, 1), 6, "4 + 2 + 0");
+    assert_eq!(plan.short, [step(1)]);
+}
+
+#[test]
+fn a_gang_is_placed_whole_or_not_at_all() {
+    let infos = vec![info("r1"); 2];
+    let gang = |tasks| Demand { gang: true, ..demand(1, tasks, 3_000) };
+    assert_eq!(placed(&run(&mut rooms(&infos, &[8_000, 8_000]), &[gang(4)]), 1), 4);
+    assert_eq!(placed(&run(&mut rooms(&infos, &[8_000, 8_000]), &[gang(5)]), 1), 0);
+}
+
+#[test]
+fn room_for_a_gang_that_comes_next_is_not_given_to_work_behind_it() {
+    let infos = vec![info("r1"); 2];
+    let gang = Demand { gang: true, ..demand(1, 3, 4_000) };
+    let plan = run(&mut rooms(&infos, &[4_000, 4_000]), &[gang, demand(2, 4, 4_000)]);
+    assert_eq!((placed(&plan, 1), placed(&plan, 2)), (0, 0));
+}
+
+#[test]
+fn a_gang_that_slows_down_across_racks_stays_on_one() {
+    let infos = [info("r1"), info("r2"), info("r2")];
+    let gang = Demand { gang: true, same_rack: true, ..demand(1, 4, 2_000) };
+    let plan = run(&mut rooms(&infos, &[8_000, 4_000, 4_000]), &[gang]);
+    let mut lives: Vec<LifeId> = plan.placements[0].tasks.iter().map(|(_, life)| *life).collect();
+    lives.sort_unstable();
+    lives.dedup();
+    assert!(lives == [1] || lives == [2, 3], "{lives:?}");
+}
+
+#[test]
+fn limits_labels_and_data_are_kept() {
+    let infos = [info("r1"), info("r2"), info("r2")];
+    let spread = Demand { max_per_worker: 1, ..demand(1, 5, 1_000) };
+    assert_eq!(placed(&run(&mut rooms(&infos, &[8_000; 3]), &[spread]), 1), 3);
+    let labelled = Demand { required_label: Some("r2".into()), ..demand(1, 1, 1_000) };
+    let plan = run(&mut rooms(&infos, &[8_000; 3]), &[labelled]);
+    assert_ne!(plan.placements[0].tasks[0].1, 1);
+    let near = Demand { data_rack: Some("r1".into()), ..demand(1, 1, 1_000) };
+    let plan = run(&mut rooms(&infos, &[8_000; 3]), &[near]);
+    assert_eq!(plan.placements[0].tasks[0].1, 1);
+}
+
+#[test]
+fn a_stale_ticket_is_renewed_and_its_room_kept_meanwhile() {
+    let infos = vec![info("r1"); 1];
+    let stale = Demand { allowed: Allowed::Only(vec![(1, false)]), ..demand(1, 2, 4_000) };
+    let plan = run(&mut rooms(&infos, &[8_000]), &[stale, demand(2, 1, 4_000)]);
+    assert_eq!(plan.renew, [(step(1), vec![1])]);
+    assert!(plan.placements.is_empty(), "{:?}", plan.placements);
+}
+
+#[test]
+fn tight_work_gets_fast_workers_and_the_rest_leaves_them_to_it() {
+    let infos = vec![info("r1"); 2];
+    for (tight, life) in [(true, 1), (false, 2)] {
+        let mut rooms = rooms(&infos, &[8_000, 8_000]);
+        rooms[1].slowness = 130;
+        let plan = run(&mut rooms, &[Demand { tight, ..demand(1, 1, 1_000) }]);
+        assert_eq!(plan.placements[0].tasks[0].1, life, "tight: {tight}");
+    }
+}
+
+#[test]
+fn only_tight_work_of_a_higher_priority_pauses_runs_and_no_more_than_it_needs() {
+    let infos = vec![info("r1"); 1];
+    let task = |index| TaskRef { step: step(9), index };
+    let pausable = |index| Pausable {
+        task: task(index),
+        run: 1,
+        need: Room { cpu: 2_000, memory: 10, gpu: 0 },
+        priority: 2,
+    };
+    let givers = |_| Givers { stopping: Room::default(), pausable: (0..4).map(pausable).collect() };
+    let tight = |priority, can_wait_for_stop| Demand {
+        tight: true,
+        priority,
+        can_wait_for_stop,
+        ..demand(1, 1, 3_000)
+    };
+    let pauses = |demand| plan(&mut rooms(&infos, &[0]), &[demand], givers).pauses;
+    assert_eq!(pauses(tight(0, true)), [(1, task(0), 1), (1, task(1), 1)]);
+    assert_eq!(pauses(tight(2, true)), [], "of the same priority");
+    assert_eq!(pauses(tight(0, false)), [], "it would be late all the same");
+}
+
+#[test]
+fn what_can_be_on_time_goes_before_what_is_late_and_urgent_work_first() {
+    let s = Duration::from_secs;
+    let urgency = |priority, submitted, objective, left| Urgency {
+        priority,
+        submitted: s(submitted),
+        objective: s(objective),
+        left: s(left),
+    };
+    let mut all = [
+        ("late batch", urgency(2, 80, 10, 5)),
+        ("hopeless", urgency(0, 10, 10, 1)),
+        ("batch", urgency(2, 99, 20, 5)),
+        ("urgent", urgency(0, 100, 2, 1)),
+        ("late urgent", urgency(0, 97, 3, 1)),
+    ];
+    all.sort_by_key(|(_, urgency)| rank(urgency, s(100)));
+    let names: Vec<&str> = all.iter().map(|(name, _)| *name).collect();
+    assert_eq!(names, ["urgent", "batch", "late urgent", "late batch", "hopeless"]);
+}
+
+const BURST: u32 = 200;
+
+/// A full cell and a burst of small urgent jobs on top: what callers get with the order and the
+/// pauses, against taking all in order of arrival.
+#[test]
+fn in_a_burst_urgent_work_is_on_time_where_order_of_arrival_makes_it_late() {
+    let (ranked, paused) = play_burst(true);
+    let (arrival, _) = play_burst(false);
+    println!("urgent on time: {ranked} of {BURST} ranked, {arrival} in order of arrival");
+    assert!(paused > 0, "the burst needs no pauses: it proves nothing");
+    assert!(ranked * 10 >= BURST * 9, "{ranked} of {BURST} on time");
+    assert!(arrival * 2 < ranked, "order of arrival does as well: {arrival}");
+}
+
+/// Urgent jobs on time, and runs paused. Ticks are 10 ms; batch tasks take 4 s, urgent ones 0.6 s.
+fn play_burst(ranked: bool) -> (u32, usize) {
+    const WORKERS: usize = 24;
+    const ON_TIME: u64 = 120;
+    let infos = vec![info("r1"); WORKERS];
+    let mut running: Vec<(usize, u64, u64, u64, bool)> = Vec::new();
+    let mut queue: Vec<(u64, u64, bool)> = (0..400).map(|i| (i, 0, false)).collect();
+    let (mut next, mut on_time, mut paused) = (1_000, 0, 0);
+    for tick in 0..1_000u64 {
+        if (400..600).contains(&tick) {
+            queue.push((next, tick, true));
+            next += 1;
+        }
+        running.retain(|(_, _, end, _, _)| *end > tick);
+        let mut free = [CORES; WORKERS];
+        for (w, _, _, cpu, _) in &running {
+            free[*w] -= cpu;
+        }
+        if ranked {
+            queue.sort_by_key(|(job, at, urgent)| (!urgent, *at, *job));
+        }
+        let wants = |(job, at, urgent): &(u64, u64, bool)| Demand {
+            tight: *urgent && ranked,
+            priority: if *urgent { 0 } else { 2 },
+            can_wait_for_stop: tick < at + 40,
+            ..demand(*job, 1, if *urgent { 3_000 } else { 2_000 })
+        };
+        let demands: Vec<Demand> = queue.iter().take(40).map(wants).collect();
+        let givers = |life: LifeId| {
+            let here = running.iter().filter(|(w, .., urgent)| *w + 1 == life as usize && !urgent);
+            let pausable = here.map(|(_, job, _, cpu, _)| Pausable {
+                task: TaskRef { step: step(*job), index: 0 },
+                run: 1,
+                need: Room { cpu: *cpu, memory: 10, gpu: 0 },
+                priority: 2,
+            });
+            Givers { stopping: Room::default(), pausable: pausable.collect() }
+        };
+        let decided = plan(&mut rooms(&infos, &free), &demands, givers);
+        for (_, task, _) in &decided.pauses {
+            let i = running.iter().position(|run| run.1 == task.step.job).expect("it runs");
+            let (_, job, ..) = running.remove(i);
+            queue.push((job, 0, false));
+            paused += 1;
+        }
+        for placement in &decided.placements {
+            let i = queue.iter().position(|(job, ..)| *job == placement.step.job).expect("waits");
+            let (job, at, urgent) = queue.remove(i);
+            let (takes, cpu) = if urgent { (60, 3_000) } else { (400, 2_000) };
+            running.push((placement.tasks[0].1 as usize - 1, job, tick + takes, cpu, urgent));
+            if urgent && tick + takes <= at + ON_TIME {
+                on_time += 1;
+            }
+        }
+    }
+    (on_time, paused)
+}
