--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -183,6 +183,14 @@
         }
     }
 
+    /// When a member last answered; only a leader knows.
+    pub fn heard(&self, id: MemberId) -> Option<Timestamp> {
+        match &self.state {
+            State::Leader(l) => l.progress.get(&id).map(|p| p.heard),
+            _ => None,
+        }
+    }
+
     /// When the driver must call [`Raft::tick`] at the latest.
     pub fn next_wakeup(&self) -> Timestamp {
         match &self.state {
--- a/crates/scheduler/src/repair.rs
+++ b/crates/scheduler/src/repair.rs
@@ -1,8 +1,16 @@
 //! Bringing hosts with a new disk into the group, and their old folders out.
 
 use crate::node::Node;
-use consensus::Role;
-use types::HostId;
+use consensus::{Config, Raft, Role};
+use std::time::Duration;
+use types::{HostId, Timestamp};
+
+/// A voter that was silent for this long gives way, where enough others vote.
+const GIVE_WAY_AFTER: Duration = Duration::from_secs(8);
+/// Fewest voters that a silent one leaves behind.
+const LEAST_VOTERS: usize = 3;
+/// A voter heard this recently is there.
+const THERE: Duration = Duration::from_secs(1);
 
 impl Node {
     /// One change of members at a time, when one is due.
@@ -29,16 +37,15 @@
                 (host, role)
             })
             .collect();
-        if intended.is_empty() {
-            return;
-        }
-        let change = self.newcomers.next_change(
-            config,
-            &intended,
-            raft.last_index(),
-            |member| raft.matched(member),
-            now,
-        );
+        let change = without_silent_voter(raft, now).or_else(|| {
+            self.newcomers.next_change(
+                config,
+                &intended,
+                raft.last_index(),
+                |member| raft.matched(member),
+                now,
+            )
+        });
         if let Some(next) = change.filter(|next| next != config) {
             log::info!(members = next.members().len(), voters = next.voters().count();
                 "the group's members change");
@@ -49,3 +56,14 @@
         }
     }
 }
+
+/// The config without a voter that has been silent for long, as after its host was replaced by one
+/// at another address. Where few vote, it keeps its vote: it may come back.
+fn without_silent_voter(raft: &Raft, now: Timestamp) -> Option<Config> {
+    let config = raft.config();
+    let heard = |id| if id == raft.id() { Some(now) } else { raft.heard(id) };
+    let there = config.voters().filter(|id| heard(*id).is_some_and(|at| now < at + THERE)).count();
+    let silent = config.voters().find(|id| heard(*id).is_some_and(|at| now > at + GIVE_WAY_AFTER));
+    let silent = silent.filter(|_| there >= LEAST_VOTERS)?;
+    Some(config.without(silent))
+}
--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -246,3 +246,24 @@
     let voters = members.iter().filter(|(_, role)| *role == Role::Voter).count();
     assert_eq!((members.len(), voters), (DISKS, DISKS), "{members:?}");
 }
+
+/// A host is gone for good and another takes its place at another address: three vote again, and
+/// the loss of one more is borne.
+#[test]
+fn a_replaced_host_loses_its_vote_to_the_new_one() {
+    let mut world = World::new(6, Weakening::None);
+    world.configure(1);
+    world.run_until(6_000);
+    world.kill(0);
+    world.kill(3);
+    world.spares.insert(3);
+    world.start(3, false);
+    world.run_until(26_000);
+    let members = world.group_members(world.leader_of(&[1, 2, 3]).expect("a leader"));
+    let mut voters: Vec<&str> = members.iter().map(|(host, _)| host.as_str()).collect();
+    voters.sort_unstable();
+    assert_eq!(voters, ["10.0.0.2", "10.0.0.3", "10.0.0.4"], "{members:?}");
+    world.kill(1);
+    world.run_until(32_000);
+    assert!(world.leader_of(&[2, 3]).is_some(), "one more loss is borne");
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -99,6 +99,8 @@
     events: BinaryHeap<Reverse<(u64, u64, usize)>>,
     store: BTreeMap<usize, Event>,
     last_event: usize,
+    /// Hosts beyond the first that have a disk.
+    pub(crate) spares: BTreeSet<usize>,
     /// Hosts that can't talk to the others.
     pub(crate) cut: BTreeSet<usize>,
     /// Workers that no host reaches.
@@ -175,6 +177,7 @@
             events: BinaryHeap::new(),
             store: BTreeMap::new(),
             last_event: 0,
+            spares: BTreeSet::new(),
             cut: BTreeSet::new(),
             cut_workers: BTreeSet::new(),
             late_orders: 0,
@@ -203,7 +206,7 @@
 
     /// Starts the process of a host with what its disk holds.
     pub(crate) fn start(&mut self, i: usize, bootstrap: bool) {
-        let disk = i < DISKS;
+        let disk = i < DISKS || self.spares.contains(&i);
         let cfg = NodeConfigBuilder::new(ip(i))
             .seeds((0..DISKS).map(ip).collect())
             .bootstrap(bootstrap)
@@ -256,7 +259,12 @@
     }
 
     pub(crate) fn leader(&self) -> Option<usize> {
-        (0..DISKS).find(|i| self.hosts[*i].node.as_ref().is_some_and(Node::leads))
+        self.leader_of(&[0, 1, 2])
+    }
+
+    /// The leader among these hosts.
+    pub(crate) fn leader_of(&self, hosts: &[usize]) -> Option<usize> {
+        hosts.iter().copied().find(|i| self.hosts[*i].node.as_ref().is_some_and(Node::leads))
     }
 
     /// The group's members as a host knows them.
