Serve counters and latency histograms on the platform's metrics address

Change: node::Metrics (calls, orders, advice, syncs as histograms in seconds; how the host stands and what it counted), scraped at 9464/metrics.

--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -11,7 +11,10 @@
     /// Run with these settings.
     Run(Box<Settings>),
     /// Run on the users' platform, whose own file has the settings.
-    OnPlatform,
+    OnPlatform {
+        /// Port on which metrics are served.
+        metrics_port: u16,
+    },
     /// Print the settings in force and stop.
     Print(Box<Settings>),
     /// Help or version was printed.
@@ -44,7 +47,15 @@
         )
         .subcommand(
             Command::new("on-platform")
-                .about("Runs one host on the users' platform, by the platform's settings file"),
+                .about("Runs one host on the users' platform, by the platform's settings file")
+                .arg(
+                    Arg::new("metrics-port")
+                        .long("metrics-port")
+                        .value_name("PORT")
+                        .default_value("9464")
+                        .value_parser(clap::value_parser!(u16))
+                        .help("Port on which metrics are served"),
+                ),
         )
 }
 
@@ -60,8 +71,9 @@
         }
         Err(e) => return Err(Error::Usage(e.to_string())),
     };
-    if matches.subcommand_name().is_some() {
-        return Ok(Asked::OnPlatform);
+    if let Some(("on-platform", sub)) = matches.subcommand() {
+        let port = sub.get_one("metrics-port").copied().expect("it has a default");
+        return Ok(Asked::OnPlatform { metrics_port: port });
     }
     let settings = Box::new(read_settings(&matches)?);
     Ok(if matches.get_flag("print-settings") {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -33,11 +33,11 @@
 {
     match args::parse(args)? {
         Asked::Run(settings) => start(*settings),
-        Asked::OnPlatform => {
+        Asked::OnPlatform { metrics_port } => {
             // Read once by the pool when its first task starts.
             std::env::set_var("ASYNC_STD_THREAD_COUNT", "1");
             logs::start_on_platform();
-            Ok(platform::run()?)
+            Ok(platform::run(metrics_port)?)
         }
         Asked::Print(settings) => {
             print!("{}", settings.to_yaml());
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -4,6 +4,7 @@
 use crate::disk::{Disk, Place};
 use crate::handle::Handle;
 use crate::links::{self, Links};
+use crate::metrics::Metrics;
 use crate::Error;
 use async_std::task;
 use jobs::{Configuration, StepRef};
@@ -78,7 +79,7 @@
 {
     let clock = Clock::start();
     let (tx, rx) = mpsc::channel();
-    let handle = Handle::new(tx, clock);
+    let handle = Handle::new(tx, clock, Metrics::new(&setup.host, &setup.zone));
     let stop = CancellationToken::new();
     let addr = setup.peers;
     task::block_on(links::listen(addr, handle.clone())).map_err(|e| Error::Peers(addr, e))?;
@@ -187,8 +188,11 @@
     }
 
     fn sync(&mut self) -> Result<(), storage::Error> {
+        let began = self.clock.now();
         if let Some(disk) = &mut self.disk {
-            disk.sync()?;
+            if disk.sync()? {
+                self.handle.metrics().note_sync(self.clock.now().saturating_sub(began));
+            }
         }
         Ok(())
     }
@@ -238,15 +242,12 @@
         let now = self.clock.now();
         let (not_ready, drained) = (self.node.not_ready(), self.node.is_drained());
         let in_touch = self.node.is_in_touch();
-        let stats = (now >= self.next_stats).then(|| self.node.stats());
         self.handle.publish(|shared| {
             (shared.not_ready, shared.drained, shared.in_touch) = (not_ready, drained, in_touch);
-            if let Some(stats) = stats {
-                shared.stats = stats;
-            }
         });
         if now >= self.next_stats {
             self.next_stats = now + STATS_EVERY;
+            self.handle.metrics().publish(self.node.stats());
         }
     }
 }
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -1,9 +1,10 @@
 //! The way to the engine for everyone else in the process.
 
 use crate::clock::Clock;
+use crate::metrics::Metrics;
 use async_std::future::timeout;
 use futures::channel::oneshot;
-use scheduler::{Answer, Call, Input, NodeStats};
+use scheduler::{Answer, Call, Input};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::time::Duration;
@@ -21,8 +22,6 @@
     pub drained: bool,
     /// What it knows of the configuration is recent.
     pub in_touch: bool,
-    /// Counts and gauges, renewed about once a second.
-    pub stats: NodeStats,
 }
 
 type Waiting = SortedMap<ExchangeId, oneshot::Sender<Result<Answer, Refusal>>>;
@@ -35,6 +34,7 @@
     shared: Arc<Mutex<Shared>>,
     last: Arc<AtomicU64>,
     clock: Clock,
+    metrics: Arc<Metrics>,
 }
 
 /// Tells the engine that nobody waits any more, unless the answer has come.
@@ -54,16 +54,22 @@
 }
 
 impl Handle {
-    pub(crate) fn new(inputs: mpsc::Sender<Input>, clock: Clock) -> Handle {
+    pub(crate) fn new(inputs: mpsc::Sender<Input>, clock: Clock, metrics: Metrics) -> Handle {
         Handle {
             inputs,
             waiting: Arc::default(),
             shared: Arc::default(),
             last: Arc::default(),
             clock,
+            metrics: Arc::new(metrics),
         }
     }
 
+    /// The metrics of the process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// The process's clock.
     pub fn clock(&self) -> Clock {
         self.clock
@@ -80,11 +86,12 @@
         let (tx, rx) = oneshot::channel();
         self.waiting.lock().expect("no one panics with the lock").insert(exchange, tx);
         let mut abandon = Abandon { handle: self, exchange, done: false };
-        let change = call.is_change();
+        let (change, name, began) = (call.is_change(), call.name(), self.clock.now());
         self.input(Input::Call(exchange, call, deadline));
         let limit = deadline.saturating_sub(self.clock.now()) + GRACE;
         if let Ok(Ok(answer)) = timeout(limit, rx).await {
             abandon.done = true;
+            self.metrics.note_call(name, self.clock.now().saturating_sub(began));
             return answer;
         }
         let kind = if change { RefusalKind::Unknown } else { RefusalKind::Unavailable };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,10 +11,12 @@
 mod error;
 mod handle;
 mod links;
+mod metrics;
 mod signals;
 
 pub use clock::Clock;
 pub use engine::{start, Carriers, Running, Setup};
 pub use error::Error;
 pub use handle::{Handle, Shared};
+pub use metrics::Metrics;
 pub use signals::{watch_signals, Signal};
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,123 @@
+//! Counters, gauges and latency histograms of one process, in the text format of `/metrics`.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::{Registry, Unit};
+use scheduler::NodeStats;
+use std::sync::Mutex;
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: String,
+}
+
+type Timings = Family<KindLabel, Histogram, fn() -> Histogram>;
+
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_5, 2.0, 15))
+}
+
+/// All metrics of one process.
+pub struct Metrics {
+    registry: Registry,
+    calls: Timings,
+    orders: Timings,
+    advice: Histogram,
+    syncs: Histogram,
+    gauges: Family<KindLabel, Gauge>,
+    counts: Family<KindLabel, Gauge>,
+    last: Mutex<NodeStats>,
+}
+
+impl Metrics {
+    /// The metrics of a host.
+    pub(crate) fn new(host: &str, zone: &str) -> Metrics {
+        let labels = [("host", host), ("zone", zone)];
+        let labels = labels.map(|(k, v)| (k.into(), v.to_string().into()));
+        let mut registry = Registry::with_prefix_and_labels("ebonywalk", labels.into_iter());
+        let calls: Timings = Family::new_with_constructor(seconds);
+        let orders: Timings = Family::new_with_constructor(seconds);
+        let (advice, syncs) = (seconds(), seconds());
+        let (gauges, counts) = (Family::default(), Family::default());
+        let s = Unit::Seconds;
+        registry.register_with_unit("call", "Time to answer a call", s, calls.clone());
+        let s = Unit::Seconds;
+        registry.register_with_unit("order", "Time to a worker's answer", s, orders.clone());
+        let s = Unit::Seconds;
+        registry.register_with_unit("advice", "Time to an advice", s, advice.clone());
+        let s = Unit::Seconds;
+        registry.register_with_unit("sync", "Time to sync the log", s, syncs.clone());
+        registry.register("now", "How this host stands, by kind", gauges.clone());
+        registry.register("since_start", "Counts since the start, by kind", counts.clone());
+        let last = Mutex::default();
+        Metrics { registry, calls, orders, advice, syncs, gauges, counts, last }
+    }
+
+    /// Notes how long a call took and how it ended.
+    pub fn note_call(&self, kind: &str, took: Duration) {
+        observe(&self.calls, kind, took);
+    }
+
+    /// Notes how long a worker took to answer an order.
+    pub fn note_order(&self, kind: &str, took: Duration) {
+        observe(&self.orders, kind, took);
+    }
+
+    /// Notes how long the advice service took.
+    pub fn note_advice(&self, took: Duration) {
+        self.advice.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn note_sync(&self, took: Duration) {
+        self.syncs.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn publish(&self, stats: NodeStats) {
+        *self.last.lock().expect("no one panics with the lock") = stats;
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> String {
+        let stats = self.last.lock().expect("no one panics with the lock").clone();
+        let set = |family: &Family<KindLabel, Gauge>, kind: &str, value: u64| {
+            let labels = KindLabel { kind: kind.to_string() };
+            family.get_or_create(&labels).set(i64::try_from(value).unwrap_or(i64::MAX));
+        };
+        for (kind, value) in [
+            ("leads", u64::from(stats.leads)),
+            ("term", stats.term),
+            ("configuration_version", stats.version),
+            ("open_calls", stats.open_calls as u64),
+            ("open_jobs", stats.open_jobs as u64),
+            ("waiting_steps", stats.ready_steps as u64),
+            ("usable_workers", stats.usable_workers as u64),
+            ("workers", stats.workers as u64),
+        ] {
+            set(&self.gauges, kind, value);
+        }
+        let ends = ["done", "failed", "stopped", "lapsed", "broken", "alone"];
+        for (kind, value) in ends.iter().zip(stats.ends) {
+            set(&self.counts, &format!("runs_{kind}"), value);
+        }
+        for (kind, value) in [
+            ("starts", stats.starts),
+            ("jobs_accepted", stats.accepted),
+            ("runs_given_up", stats.lost_runs),
+            ("advice_calls", stats.advice_calls),
+        ] {
+            set(&self.counts, kind, value);
+        }
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string does not fail");
+        text
+    }
+}
+
+fn observe(timings: &Timings, kind: &str, took: Duration) {
+    let labels = KindLabel { kind: kind.to_string() };
+    timings.get_or_create(&labels).observe(took.as_secs_f64());
+}
