Bound a placement pass: cached urgency, the most urgent steps, no idle asking

Cause: overfull at 350 workers the leader ran at 0.30 of its 0.4 core: each pass worked out the chain of every waiting step anew, sorted all workers for steps that nobody could be asked about, and passes came every 5 ms. Change: urgency is kept from when a step gets ready; a pass looks at 200 steps; passes come later the more steps wait; callers are looked for first.

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -153,6 +153,11 @@
         share.clamp(0.05, 1.0)
     }
 
+    /// Whether a host could make a call, perhaps after others.
+    pub fn has_caller(&self, policy: &AdvicePolicy, now: Timestamp) -> bool {
+        self.choose_caller(policy.duration(1), now).is_some()
+    }
+
     /// Whether a host could make a call at once, so that a wide one holds up nobody.
     pub fn is_quiet(&self, policy: &AdvicePolicy, now: Timestamp) -> bool {
         let duration = policy.duration(1);
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -2,10 +2,12 @@
 
 use crate::config::NodeConfig;
 use crate::node::NodeStats;
+use crate::planning::urgency;
 use consensus::Term;
 use dispatch::{AdviceBook, Expected, OrderId, Session};
 use jobs::{Effect, EndKind, LifeId, RunNumber, State, StepRef, TaskRef};
 use placement::speeds::Speeds;
+use placement::steps::Urgency;
 use std::time::Duration;
 use types::{JobId, SortedMap, Timestamp};
 
@@ -34,8 +36,8 @@
     pub(crate) advice: AdviceBook,
     /// Lives named in calls to the advice service that are under way.
     pub(crate) asked: SortedMap<u64, Vec<LifeId>>,
-    /// Steps with tasks that wait for a place, sorted.
-    pub(crate) ready: Vec<StepRef>,
+    /// Steps with tasks that wait for a place.
+    pub(crate) ready: SortedMap<StepRef, Urgency>,
     /// Placements are on their way through the log.
     pub(crate) placing: bool,
     pub(crate) plan_due: bool,
@@ -60,7 +62,7 @@
             last_order: base,
             advice: AdviceBook::new(base),
             asked: SortedMap::default(),
-            ready: Vec::new(),
+            ready: SortedMap::default(),
             placing: false,
             plan_due: true,
             next_plan: now,
@@ -75,12 +77,14 @@
             leader.begin_session(state, life.id, cfg, now);
         }
         for job in state.jobs().filter(|job| !job.phase.is_over()) {
-            leader.ready.extend(job.steps_ready());
+            let steps: Vec<StepRef> = job.steps_ready().collect();
+            for step in steps {
+                leader.note_ready(state, step);
+            }
             if job.request.as_ref().is_some_and(|request| request.schedule.is_some()) {
                 leader.scheduled.push(job.id);
             }
         }
-        leader.ready.sort_unstable();
         leader
     }
 
@@ -124,9 +128,7 @@
                 Effect::Configured => self.plan_due = true,
                 Effect::Accepted(id) => self.accepted(state, id, stats),
                 Effect::Ready(step) => {
-                    if let Err(i) = self.ready.binary_search(&step) {
-                        self.ready.insert(i, step);
-                    }
+                    self.note_ready(state, step);
                     self.plan_due = true;
                 }
                 Effect::Placed { life, task, run } => {
@@ -171,7 +173,7 @@
                 Effect::JobOver(id) => {
                     log_over(state, id, now);
                     self.stop_where(|task| task.step.job == id, now);
-                    self.ready.retain(|step| step.job != id);
+                    self.ready.retain(|step, _| step.job != id);
                     self.advice.retain(|step| step.job != id);
                     self.scheduled.retain(|job| *job != id);
                 }
@@ -191,6 +193,12 @@
         }
     }
 
+    fn note_ready(&mut self, state: &State, step: StepRef) {
+        if let Some(urgency) = urgency(state, step, &self.speeds) {
+            self.ready.insert(step, urgency);
+        }
+    }
+
     fn accepted(&mut self, state: &State, id: JobId, stats: &mut NodeStats) {
         stats.accepted += 1;
         let Some(job) = state.job(id) else { return };
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -4,7 +4,7 @@
 use crate::leader::{hex, Leader, PLAN_AT_LEAST, PLAN_EVERY};
 use crate::node::Node;
 use dispatch::AdviceCall;
-use jobs::{Command, Job, LifeId, Placement, Progress, Room, RunNumber, State, StepRef, TaskRef};
+use jobs::{Command, LifeId, Placement, Progress, Room, RunNumber, State, StepRef, TaskRef};
 use placement::speeds::Speeds;
 use placement::steps::{plan, rank, Allowed, Demand, Givers, Pausable, Urgency, WorkerRoom};
 use std::time::Duration;
@@ -21,6 +21,10 @@
 const ASKED_BEFORE_PAUSING: usize = 48;
 /// Where a stop takes longer than this, work that is tight would be late all the same.
 const QUICK_STOP: Duration = Duration::from_millis(400);
+/// Added to the time between two passes for each step that waits.
+const PLAN_PER_STEP: Duration = Duration::from_micros(20);
+/// Steps that one pass looks at, the most urgent ones.
+const MAX_STEPS_PER_PASS: usize = 200;
 /// Tasks placed by one command.
 const MAX_TASKS_PER_COMMAND: usize = 256;
 
@@ -39,7 +43,8 @@
             return;
         }
         leader.plan_due = false;
-        leader.next_plan = now + PLAN_EVERY;
+        // A pass takes time for each step that waits.
+        leader.next_plan = now + PLAN_EVERY + PLAN_PER_STEP * leader.ready.len() as u32;
         let Decided { placements, calls, pauses } = leader.plan(&group.state, &callers, now);
         for (life, task, run) in pauses {
             log::info!(job = hex(task.step.job).as_str(), index = task.index, run = run, life = life;
@@ -72,15 +77,12 @@
     /// One pass: what to place, what to stop for it, and which calls to make for advice.
     fn plan(&mut self, state: &State, callers: &[HostId], now: Timestamp) -> Decided {
         self.advice.set_callers(callers);
-        self.ready.retain(|step| state.job(step.job).is_some_and(|job| job.is_ready(*step)));
+        self.ready.retain(|step, _| state.job(step.job).is_some_and(|job| job.is_ready(*step)));
         let mut rooms = self.rooms(state, now);
-        let mut ranked = Vec::with_capacity(self.ready.len());
-        for step in &self.ready {
-            let Some(job) = state.job(step.job) else { continue };
-            let urgency = urgency(state, job, *step, &self.speeds);
-            ranked.push((rank(&urgency, now), *step, urgency));
-        }
-        ranked.sort_by_key(|(rank, step, _)| (*rank, *step));
+        let ranked = self.ready.iter().map(|(step, urgency)| (rank(urgency, now), *step, *urgency));
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_unstable_by_key(|(rank, step, _)| (*rank, *step));
+        ranked.truncate(MAX_STEPS_PER_PASS);
         let mut calls = Vec::new();
         let mut demands = Vec::with_capacity(ranked.len());
         for (_, step, urgency) in ranked {
@@ -211,6 +213,9 @@
         let (spec, job) = (state.spec(step)?, state.job(step.job)?);
         let policy = state.policy(job.queue);
         let advice = policy.advice?;
+        if !self.advice.has_caller(&advice, now) {
+            return None;
+        }
         let known = self.advice.step(step);
         if known.is_some_and(|known| known.is_pending()) {
             return None;
@@ -254,7 +259,8 @@
 }
 
 /// When the job of a step is to be done.
-fn urgency(state: &State, job: &Job, step: StepRef, speeds: &Speeds) -> Urgency {
+pub(crate) fn urgency(state: &State, step: StepRef, speeds: &Speeds) -> Option<Urgency> {
+    let job = state.job(step.job)?;
     let policy = state.policy(job.queue);
     let request = job.request.as_ref();
     let chain = request.map(|request| request.chain()).unwrap_or_default();
@@ -265,5 +271,6 @@
         Some(schedule) => schedule.first + schedule.interval * step.occurrence,
         None => job.submitted,
     };
-    Urgency { priority: policy.priority, submitted: due, objective: policy.objective(chain), left }
+    let objective = policy.objective(chain);
+    Some(Urgency { priority: policy.priority, submitted: due, objective, left })
 }
