--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -5,12 +5,11 @@
 //! tasks whose ticket has to be renewed first.
 
 use jobs::{LifeId, Placement, Room, RunNumber, StepRef, TaskRef, WorkerInfo};
-use std::cmp::Reverse;
 use std::time::Duration;
 use types::{ServiceName, SortedMap, Timestamp};
 
-/// Room is kept for one gang that does not fit for each so many workers.
-const WORKERS_PER_KEPT_GANG: usize = 24;
+/// Gangs that don't fit for which room is kept at one time.
+const GANGS_WITH_KEPT_ROOM: usize = 3;
 /// A late job still counts up to this many times its objective.
 const WORTHLESS_AFTER: u32 = 3;
 
@@ -164,7 +163,6 @@
     let mut asked = SortedMap::default();
     let mut plan = StepPlan::default();
     let mut kept = 0;
-    let most_kept = (rooms.len() / WORKERS_PER_KEPT_GANG).max(1);
     for demand in demands {
         let mut candidates = candidates(rooms, demand);
         if demand.gang {
@@ -174,9 +172,9 @@
                 None => {
                     plan.short.push(demand.step);
                     make_room(rooms, demand, demand.tasks.len(), &givers, &mut asked, &mut plan);
-                    if kept < most_kept {
+                    if kept < GANGS_WITH_KEPT_ROOM {
                         kept += 1;
-                        keep_room(rooms, demand);
+                        keep_room(rooms, demand, &candidates);
                     }
                 }
             }
@@ -366,36 +364,20 @@
     true
 }
 
-/// Keeps workers for a gang that does not fit: what is free there, and what ends there next, is
-/// not given to work behind it. Each of them is taken to have room for one task more than now.
-fn keep_room(rooms: &mut [WorkerRoom<'_>], demand: &Demand) {
-    let labelled = |room: &WorkerRoom<'_>| {
-        demand.required_label.as_ref().is_none_or(|l| room.info.labels.contains(l))
-    };
-    let may_run = |room: &WorkerRoom<'_>| match &demand.allowed {
-        Allowed::Any => true,
-        Allowed::Only(lives) => lives.iter().any(|(life, _)| *life == room.life),
-    };
-    let mut fitting: Vec<usize> = (0..rooms.len())
-        .filter(|at| {
-            let room = &rooms[*at];
-            let service = room.info.service == demand.service;
-            let holds = demand.need.fits_in(&room.info.capacity);
-            service && holds && labelled(room) && may_run(room)
-        })
-        .collect();
-    fitting.sort_by_key(|at| Reverse(rooms[*at].free.cpu));
-    let most = if demand.max_per_worker == 0 { u32::MAX } else { demand.max_per_worker };
+/// Keeps what is free on the workers of a gang that does not fit, so that what ends there is not
+/// given to work behind it.
+fn keep_room(rooms: &mut [WorkerRoom<'_>], demand: &Demand, candidates: &[Candidate]) {
     let mut left = demand.tasks.len() as u32;
-    for at in fitting {
-        if left == 0 {
-            return;
-        }
-        let room = &mut rooms[at];
-        let at_most = demand.need.count_in(&room.info.capacity);
-        let soon = (demand.need.count_in(&room.free) + 1).min(at_most).min(most);
-        left = left.saturating_sub(soon);
-        room.free = Room::default();
+    for c in candidates {
+        let room = &mut rooms[c.at];
+        let count = demand.need.count_in(&room.free).min(c.most).min(left);
+        left -= count;
+        let times = u64::from(count);
+        room.free = room.free.minus(&Room {
+            cpu: demand.need.cpu * times,
+            memory: demand.need.memory * times,
+            gpu: demand.need.gpu * times,
+        });
     }
 }
 
