--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -79,10 +79,7 @@
         self.advice.set_callers(callers);
         self.ready.retain(|step, _| state.job(step.job).is_some_and(|job| job.is_ready(*step)));
         let mut rooms = self.rooms(state, now);
-        let ranked = self.ready.iter().map(|(step, urgency)| {
-            let waits = !self.awaits_tickets(state, *step);
-            ((waits, rank(urgency, now)), *step, *urgency)
-        });
+        let ranked = self.ready.iter().map(|(step, urgency)| (rank(urgency, now), *step, *urgency));
         let mut ranked: Vec<_> = ranked.collect();
         ranked.sort_unstable_by_key(|(rank, step, _)| (*rank, *step));
         ranked.truncate(MAX_STEPS_PER_PASS);
@@ -111,13 +108,6 @@
         Decided { placements, calls, pauses: decided.pauses }
     }
 
-    /// Whether a gang that fits waits for its tickets to be renewed. It goes first meanwhile, or
-    /// small work would take its room before the answer comes, again and again.
-    fn awaits_tickets(&self, state: &State, step: StepRef) -> bool {
-        let gang = state.spec(step).is_some_and(|spec| spec.gang && spec.count > 1);
-        gang && self.advice.step(step).is_some_and(|known| known.is_known() && known.is_pending())
-    }
-
     fn rooms<'a>(&self, state: &'a State, now: Timestamp) -> Vec<WorkerRoom<'a>> {
         let usable = |id: LifeId| self.sessions.get(&id).is_some_and(|s| s.is_usable(now));
         let lives = state.lives().filter(|life| !life.info.draining && usable(life.id));
