--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -147,7 +147,8 @@
                     count_end(stats, kind);
                     self.plan_due = true;
                     log::info!(job = hex(task.step.job).as_str(), step = task.step.step,
-                        index = task.index, run = run, life = life, kind:? = kind; "run ended");
+                        index = task.index, run = run, life = life, kind = kind_name(kind);
+                        "run ended");
                     if kind == Some(EndKind::Done) {
                         self.learn(life, task, run, now);
                     }
@@ -288,3 +289,15 @@
     let known = alone && whole && !spec.long_running;
     known.then_some(Expected { queue: job.queue, estimate: spec.estimate })
 }
+
+fn kind_name(kind: Option<EndKind>) -> &'static str {
+    match kind {
+        Some(EndKind::Done) => "done",
+        Some(EndKind::Failed) => "failed",
+        Some(EndKind::Stopped) => "stopped",
+        Some(EndKind::Lapsed) => "lapsed",
+        Some(EndKind::Broken) => "broken",
+        Some(EndKind::Alone) => "alone",
+        None => "given up",
+    }
+}
