Split sessions, ends of runs and the leader's effects by concern

Change: moved, not changed: dispatch session/{config,run,answers}, jobs state/ends, one function an effect, decoding apart from answering at control.

--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -1,56 +1,17 @@
 //! The leader's side of one life of a worker.
 
-use crate::order::{Look, Order, OrderAnswer, OrderId, Refused};
-use jobs::{End, LifeId, QueueId, RunNumber, TaskRef};
-use std::time::Duration;
-use types::{JobId, Timestamp};
+mod answers;
+mod config;
+mod run;
 
-/// One mechanism switched off. Only tests set anything but `None`.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Weakening {
-    /// All mechanisms work.
-    #[default]
-    None,
-    /// A new leader does not wait for the leases of an earlier one.
-    ForgetEarlierLeases,
-    /// A run that a worker does not list is given up, though its start may still be carried out.
-    TrustAbsence,
-    /// Ends are forgotten by the worker before the log has them.
-    NoteEndsEarly,
-}
+pub use config::{SessionConfig, Weakening};
+pub use run::{Expected, RunStatus};
 
-/// Times that a session keeps.
-#[derive(Clone, Debug)]
-pub struct SessionConfig {
-    /// Length of a lease, on the worker's clock.
-    pub lease: Duration,
-    /// How long a look may wait for an end.
-    pub look_wait: Duration,
-    /// Time from one look to the next where nothing runs.
-    pub idle_look: Duration,
-    /// Wait after an order that got no answer.
-    pub retry: Duration,
-    /// A worker that was silent for this long gets no new work.
-    pub suspect_after: Duration,
-    /// Longest time for which an earlier leader may have gone on renewing leases.
-    pub predecessor: Duration,
-    /// Mechanism switched off, to show that a check notices.
-    pub weakening: Weakening,
-}
-
-impl Default for SessionConfig {
-    fn default() -> SessionConfig {
-        SessionConfig {
-            lease: Duration::from_secs(6),
-            look_wait: Duration::from_secs(1),
-            idle_look: Duration::from_secs(2),
-            retry: Duration::from_millis(150),
-            suspect_after: Duration::from_millis(1_800),
-            predecessor: Duration::from_millis(1_500),
-            weakening: Weakening::None,
-        }
-    }
-}
+use crate::order::{Order, OrderId};
+use jobs::{End, LifeId, RunNumber, TaskRef};
+use run::{RunEntry, Stage};
+use std::time::Duration;
+use types::{JobId, Timestamp};
 
 /// A worker's clock runs at least at this many thousandths of ours.
 const SLOWEST_CLOCK_PERMILLE: u32 = 975;
@@ -78,67 +39,6 @@
     Deposed,
 }
 
-/// How far a run has got, as the session knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// Its start is to be sent, or was sent and got no answer.
-    Starting,
-    /// Its start was acknowledged, or it was listed.
-    Running,
-    /// It is to be stopped.
-    Stopping,
-    /// Its stop was acknowledged: it will not start any more.
-    Stopped,
-}
-
-#[derive(Clone, Debug)]
-struct RunEntry {
-    task: TaskRef,
-    run: RunNumber,
-    stage: Stage,
-    /// The order that is under way.
-    pending: Option<OrderId>,
-    /// Since when the stage holds for certain.
-    since: Timestamp,
-    retry_at: Timestamp,
-    /// It was given up in the log, which has not taken effect yet.
-    reported: bool,
-    /// When it was first known to be at work.
-    working_since: Option<Timestamp>,
-    /// Percent done, and when its worker said so.
-    percent: u32,
-    percent_at: Timestamp,
-    expected: Option<Expected>,
-}
-
-/// What a run of a task is expected to take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Expected {
-    /// The queue, whose estimates may all be off by the same factor.
-    pub queue: QueueId,
-    /// The caller's estimate.
-    pub estimate: Duration,
-}
-
-/// How a run stands, as its worker says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RunStatus {
-    /// The task.
-    pub task: TaskRef,
-    /// Number of the run.
-    pub run: RunNumber,
-    /// When it was first known to be at work.
-    pub working_since: Option<Timestamp>,
-    /// Percent done when its worker last said so.
-    pub percent: u32,
-    /// When its worker last said so.
-    pub percent_at: Timestamp,
-    /// It is being stopped, or will never start.
-    pub stopping: bool,
-    /// What it should take; `None` where that depends on other runs.
-    pub expected: Option<Expected>,
-}
-
 /// A reading of the worker's clock.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -267,7 +167,7 @@
     /// A run must stop.
     pub fn stop_run(&mut self, task: TaskRef, run: RunNumber, now: Timestamp) {
         for entry in self.runs.iter_mut().filter(|e| (e.task, e.run) == (task, run)) {
-            stop_entry(entry, now);
+            entry.stop(now);
         }
         self.set_wakeup();
     }
@@ -278,7 +178,7 @@
         F: Fn(&TaskRef) -> bool,
     {
         for entry in self.runs.iter_mut().filter(|entry| f(&entry.task)) {
-            stop_entry(entry, now);
+            entry.stop(now);
         }
         self.set_wakeup();
     }
@@ -408,174 +308,6 @@
         self.last_order = last_order;
     }
 
-    /// Handles the answer to an order that was sent at `sent`.
-    pub fn answered(
-        &mut self,
-        order: OrderId,
-        sent: Timestamp,
-        answer: OrderAnswer,
-        now: Timestamp,
-    ) {
-        if let OrderAnswer::Done { clock, .. } | OrderAnswer::Refused { clock, .. } = &answer {
-            self.heard = Some(now);
-            self.misses = 0;
-            self.clock = clock.map(|millis| ClockReading { millis, at: now }).or(self.clock);
-        }
-        if self.look == Some(order) {
-            self.look = None;
-            self.look_answered(sent, answer, now);
-        } else if let Some(i) = self.runs.iter().position(|e| e.pending == Some(order)) {
-            self.run_answered(i, answer, now);
-        }
-        self.set_wakeup();
-    }
-
-    fn look_answered(&mut self, sent: Timestamp, answer: OrderAnswer, now: Timestamp) {
-        match answer {
-            OrderAnswer::Done { look: Some(look), .. } => {
-                self.settle();
-                self.compare(sent, &look, now);
-                let pause = if self.runs.is_empty() { self.cfg.idle_look } else { Duration::ZERO };
-                self.next_look = now + pause;
-                let news: Vec<End> =
-                    look.ended.into_iter().filter(|end| end.number > self.last_seen).collect();
-                if let Some(last) = news.last() {
-                    if self.cfg.weakening == Weakening::NoteEndsEarly {
-                        self.last_seen = last.number;
-                    } else {
-                        self.noting = Some(last.number);
-                    }
-                    self.facts.push(Fact::Ended(news));
-                }
-            }
-            OrderAnswer::Done { look: None, .. } => self.next_look = now + self.cfg.retry,
-            OrderAnswer::Refused { why: Refused::Fence, .. } => {
-                self.facts.push(Fact::Deposed);
-                self.next_look = now + self.cfg.retry;
-            }
-            OrderAnswer::Refused { why: Refused::OtherLife, .. } => {
-                self.facts.push(Fact::LifeOver);
-                self.next_look = now + self.cfg.idle_look;
-            }
-            OrderAnswer::Refused { .. } => self.next_look = now + self.cfg.retry,
-            OrderAnswer::Silence => {
-                self.misses += 1;
-                self.next_look = now + self.cfg.retry * self.misses.min(4);
-            }
-        }
-    }
-
-    /// The worker obeys this leader from now on. Until its first lease from here is over, an
-    /// earlier leader's may still hold.
-    fn settle(&mut self) {
-        if self.settled {
-            return;
-        }
-        self.settled = true;
-        let waits = self.cfg.weakening != Weakening::ForgetEarlierLeases;
-        if let Some(clock) = self.clock.filter(|_| waits) {
-            let longest = clock.millis + self.cfg.lease.as_millis() as u64;
-            self.leased_until = self.leased_until.max(longest);
-        }
-    }
-
-    /// Compares what the worker lists with what should run there.
-    fn compare(&mut self, sent: Timestamp, look: &Look, now: Timestamp) {
-        let mut lost = Vec::new();
-        for entry in &mut self.runs {
-            let is_this = |task: &TaskRef, run: RunNumber| (entry.task, entry.run) == (*task, run);
-            if look.ended.iter().any(|end| is_this(&end.task, end.run)) {
-                continue;
-            }
-            let listed = look.running.iter().find(|listed| is_this(&listed.task, listed.run));
-            if let Some(listed) = listed {
-                entry.working_since.get_or_insert(now);
-                (entry.percent, entry.percent_at) = (listed.percent, now);
-                match entry.stage {
-                    Stage::Starting => (entry.stage, entry.since) = (Stage::Running, now),
-                    // The stop has not taken effect yet, or the order was lost.
-                    Stage::Stopped if entry.since + self.cfg.retry <= sent => {
-                        stop_entry_again(entry, now)
-                    }
-                    _ => {}
-                }
-                continue;
-            }
-            // Absent: certain only where the worker had acknowledged the order before this look
-            // was sent. A start that got no answer may still be carried out.
-            let certain = matches!(entry.stage, Stage::Running | Stage::Stopped)
-                || self.cfg.weakening == Weakening::TrustAbsence;
-            if certain && entry.since < sent && !entry.reported {
-                entry.reported = true;
-                lost.push((entry.task, entry.run));
-            }
-        }
-        let known = |task: &TaskRef, run: RunNumber| {
-            self.runs.iter().any(|entry| (entry.task, entry.run) == (*task, run))
-        };
-        let strays = look.running.iter().filter(|listed| !known(&listed.task, listed.run));
-        let strays = strays.map(|listed| (listed.task, listed.run));
-        let strays: Vec<_> = strays
-            .map(|(task, run)| {
-                let old = self.strays.iter().find(|s| (s.0, s.1) == (task, run));
-                (task, run, old.map_or(now, |s| s.2))
-            })
-            .collect();
-        self.strays = strays;
-        if !lost.is_empty() {
-            self.facts.push(Fact::Lost(lost));
-        }
-    }
-
-    fn run_answered(&mut self, i: usize, answer: OrderAnswer, now: Timestamp) {
-        let retry = self.cfg.retry;
-        let entry = &mut self.runs[i];
-        entry.pending = None;
-        entry.retry_at = now + retry;
-        let (task, run) = (entry.task, entry.run);
-        match (entry.stage, answer) {
-            (Stage::Starting, OrderAnswer::Done { .. }) => {
-                (entry.stage, entry.since) = (Stage::Running, now);
-                entry.working_since.get_or_insert(now);
-            }
-            (Stage::Stopping, OrderAnswer::Done { .. }) => {
-                (entry.stage, entry.since) = (Stage::Stopped, now);
-                self.next_look = self.next_look.min(now + retry);
-            }
-            (_, OrderAnswer::Silence) => {
-                self.misses += 1;
-                entry.retry_at = now + retry * self.misses.min(4);
-            }
-            (_, OrderAnswer::Refused { why, .. }) => self.refused(i, why, task, run, now),
-            _ => {}
-        }
-    }
-
-    fn refused(&mut self, i: usize, why: Refused, task: TaskRef, run: RunNumber, now: Timestamp) {
-        let entry = &mut self.runs[i];
-        match why {
-            Refused::Fence => self.facts.push(Fact::Deposed),
-            Refused::OtherLife => self.facts.push(Fact::LifeOver),
-            // Ended there before, or stopped: the next look tells which.
-            Refused::Old => {
-                (entry.stage, entry.since) = (Stage::Stopped, now);
-                self.next_look = self.next_look.min(now);
-            }
-            Refused::Late => entry.retry_at = now,
-            Refused::Unwell | Refused::Room | Refused::Invalid | Refused::Ticket => {
-                if why != Refused::Ticket {
-                    self.rest_until = now + REST;
-                } else {
-                    self.facts.push(Fact::TicketRefused(task));
-                }
-                // An earlier copy of the order may still arrive, so the run is stopped there.
-                stop_entry(entry, now);
-                entry.retry_at = now;
-            }
-        }
-        let _ = run;
-    }
-
     /// Reports runs whose lease is over for certain.
     fn expire(&mut self, now: Timestamp) {
         if self.runs.iter().all(|entry| entry.reported) {
@@ -623,19 +355,6 @@
     }
 }
 
-fn stop_entry(entry: &mut RunEntry, now: Timestamp) {
-    if matches!(entry.stage, Stage::Starting | Stage::Running) {
-        stop_entry_again(entry, now);
-    }
-}
-
-fn stop_entry_again(entry: &mut RunEntry, now: Timestamp) {
-    entry.stage = Stage::Stopping;
-    entry.since = now;
-    entry.pending = None;
-    entry.retry_at = now;
-}
-
 /// How long a span on the worker's clock lasts at most.
 fn stretch(span: Duration) -> Duration {
     span * 1_000 / SLOWEST_CLOCK_PERMILLE
--- /dev/null
+++ b/crates/dispatch/src/session/config.rs
@@ -0,0 +1,50 @@
+//! Times that a session keeps.
+
+use std::time::Duration;
+
+/// One mechanism switched off. Only tests set anything but `None`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Weakening {
+    /// All mechanisms work.
+    #[default]
+    None,
+    /// A new leader does not wait for the leases of an earlier one.
+    ForgetEarlierLeases,
+    /// A run that a worker does not list is given up, though its start may still be carried out.
+    TrustAbsence,
+    /// Ends are forgotten by the worker before the log has them.
+    NoteEndsEarly,
+}
+
+/// Times that a session keeps.
+#[derive(Clone, Debug)]
+pub struct SessionConfig {
+    /// Length of a lease, on the worker's clock.
+    pub lease: Duration,
+    /// How long a look may wait for an end.
+    pub look_wait: Duration,
+    /// Time from one look to the next where nothing runs.
+    pub idle_look: Duration,
+    /// Wait after an order that got no answer.
+    pub retry: Duration,
+    /// A worker that was silent for this long gets no new work.
+    pub suspect_after: Duration,
+    /// Longest time for which an earlier leader may have gone on renewing leases.
+    pub predecessor: Duration,
+    /// Mechanism switched off, to show that a check notices.
+    pub weakening: Weakening,
+}
+
+impl Default for SessionConfig {
+    fn default() -> SessionConfig {
+        SessionConfig {
+            lease: Duration::from_secs(6),
+            look_wait: Duration::from_secs(1),
+            idle_look: Duration::from_secs(2),
+            retry: Duration::from_millis(150),
+            suspect_after: Duration::from_millis(1_800),
+            predecessor: Duration::from_millis(1_500),
+            weakening: Weakening::None,
+        }
+    }
+}
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -1,12 +1,13 @@
 //! The state and how commands change it.
 
+mod ends;
+
 use crate::command::{Command, Effect, Reply};
 use crate::configuration::{Configuration, QueueAddress, QueuePolicy};
 use crate::job::{Job, Occurrence, Phase, Progress};
 use crate::life::{Life, Run, WorkerInfo};
-use crate::model::{
-    End, EndKind, JobRequest, LifeId, Placement, QueueId, Room, RunNumber, StepRef, TaskRef,
-};
+use crate::model::{JobRequest, LifeId, Placement, QueueId, Room, StepRef, TaskRef};
+use ends::end_job;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use types::{JobId, SortedMap, Timestamp};
@@ -245,142 +246,6 @@
         }
     }
 
-    fn ended(&mut self, id: LifeId, end: End, at: Timestamp, effects: &mut Vec<Effect>) {
-        let Some(life) = self.lives.get_mut(&id) else { return };
-        if end.number <= life.last_seen {
-            return;
-        }
-        life.last_seen = end.number;
-        let End { task, run, kind, saved, .. } = end;
-        if life.remove(task, run) {
-            effects.push(Effect::Freed { life: id, task, run, kind: Some(kind) });
-        }
-        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
-        if job.phase.is_over() {
-            return;
-        }
-        let attempts = self.queues[job.queue as usize].policy.attempts.max(1);
-        let Some(request) = job.request.clone() else { return };
-        let Some(spec) = request.steps.get(usize::from(task.step.step)) else { return };
-        if kind == EndKind::Done && !spec.long_running {
-            self.task_done(task, spec.gang, id, run, at, effects);
-            return;
-        }
-        let Some(step) = job.step_mut(task.step) else { return };
-        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
-        if state.progress != Progress::Placed(id) || state.run != run {
-            return;
-        }
-        state.progress = Progress::Waiting;
-        if saved.is_some() {
-            state.saved.clone_from(&saved);
-        }
-        let mut failures = state.failures;
-        if kind == EndKind::Failed {
-            state.failures += 1;
-            failures = state.failures;
-        }
-        if spec.gang {
-            if let Some(saved) = saved {
-                for member in &mut step.tasks {
-                    member.saved = Some(saved.clone());
-                }
-            }
-            if kind == EndKind::Failed {
-                // Several members may fail in one run; the gang has failed once.
-                if run > step.failed_run {
-                    step.failed_run = run;
-                    step.gang_failures += 1;
-                }
-                failures = step.gang_failures;
-            }
-            effects.push(Effect::GangBroken(task.step));
-        }
-        if kind == EndKind::Failed && failures >= attempts && !spec.long_running {
-            end_job(job, Phase::Failed, at, effects);
-        } else if job.is_ready(task.step) {
-            effects.push(Effect::Ready(task.step));
-        }
-    }
-
-    /// Marks a task, or with it its whole gang, as done.
-    fn task_done(
-        &mut self,
-        task: TaskRef,
-        gang: bool,
-        life: LifeId,
-        run: RunNumber,
-        at: Timestamp,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
-        let Some(step) = job.step_mut(task.step) else { return };
-        for (index, member) in step.tasks.iter_mut().enumerate() {
-            let index = index as u32;
-            if member.progress == Progress::Done || (!gang && index != task.index) {
-                continue;
-            }
-            if let Progress::Placed(there) = member.progress {
-                // The members of this run end together; any other run is not needed any more.
-                let same = there == life && member.run == run && index == task.index;
-                let together = gang && member.run == run;
-                if !(same || together) {
-                    let task = TaskRef { step: task.step, index };
-                    effects.push(Effect::Superseded { life: there, task, run: member.run });
-                }
-            }
-            member.progress = Progress::Done;
-            member.saved = None;
-            step.done += 1;
-        }
-        if !step.is_done() {
-            return;
-        }
-        let occurrence = task.step.occurrence;
-        if job.occurrences.get(&occurrence).is_some_and(Occurrence::is_done) {
-            job.occurrences.remove(&occurrence);
-            job.finished += 1;
-            if job.finished >= job.times() {
-                end_job(job, Phase::Complete, at, effects);
-            }
-            return;
-        }
-        let ready = job.steps_ready().filter(|step| step.occurrence == occurrence);
-        effects.extend(ready.map(Effect::Ready));
-    }
-
-    fn lost(&mut self, id: LifeId, task: TaskRef, run: RunNumber, effects: &mut Vec<Effect>) {
-        if let Some(life) = self.lives.get_mut(&id) {
-            if life.remove(task, run) {
-                effects.push(Effect::Freed { life: id, task, run, kind: None });
-            }
-        }
-        self.wait_again(id, task, run, effects);
-    }
-
-    /// The task waits for another place, if this run of it was the latest.
-    fn wait_again(&mut self, id: LifeId, task: TaskRef, run: RunNumber, effects: &mut Vec<Effect>) {
-        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
-        if job.phase.is_over() {
-            return;
-        }
-        let gang = job.request.as_ref().is_some_and(|request| {
-            request.steps.get(usize::from(task.step.step)).is_some_and(|spec| spec.gang)
-        });
-        let Some(step) = job.step_mut(task.step) else { return };
-        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
-        if state.progress != Progress::Placed(id) || state.run != run {
-            return;
-        }
-        state.progress = Progress::Waiting;
-        if gang {
-            effects.push(Effect::GangBroken(task.step));
-        }
-        if job.is_ready(task.step) {
-            effects.push(Effect::Ready(task.step));
-        }
-    }
-
     /// A life that is new ends every earlier one of the same name or at the same address.
     fn worker(&mut self, info: WorkerInfo, effects: &mut Vec<Effect>) -> Reply {
         let same_place =
@@ -420,11 +285,3 @@
         }
     }
 }
-
-fn end_job(job: &mut Job, phase: Phase, at: Timestamp, effects: &mut Vec<Effect>) {
-    job.phase = phase;
-    job.ended = Some(at);
-    job.request = None;
-    job.occurrences = SortedMap::default();
-    effects.push(Effect::JobOver(job.id));
-}
--- /dev/null
+++ b/crates/jobs/src/state/ends.rs
@@ -0,0 +1,180 @@
+//! What the ends of runs change.
+
+use super::State;
+use crate::command::Effect;
+use crate::job::{Job, Occurrence, Phase, Progress};
+use crate::model::{End, EndKind, LifeId, RunNumber, TaskRef};
+use types::{SortedMap, Timestamp};
+
+impl State {
+    pub(super) fn ended(&mut self, id: LifeId, end: End, at: Timestamp, effects: &mut Vec<Effect>) {
+        let Some(life) = self.lives.get_mut(&id) else { return };
+        if end.number <= life.last_seen {
+            return;
+        }
+        life.last_seen = end.number;
+        let End { task, run, kind, saved, .. } = end;
+        if life.remove(task, run) {
+            effects.push(Effect::Freed { life: id, task, run, kind: Some(kind) });
+        }
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if job.phase.is_over() {
+            return;
+        }
+        let attempts = self.queues[job.queue as usize].policy.attempts.max(1);
+        let Some(request) = job.request.clone() else { return };
+        let Some(spec) = request.steps.get(usize::from(task.step.step)) else { return };
+        if kind == EndKind::Done && !spec.long_running {
+            self.task_done(task, spec.gang, id, run, at, effects);
+            return;
+        }
+        let Some(failures) = wait_after_end(job, task, run, id, kind, saved) else { return };
+        if spec.gang {
+            effects.push(Effect::GangBroken(task.step));
+        }
+        if kind == EndKind::Failed && failures >= attempts && !spec.long_running {
+            end_job(job, Phase::Failed, at, effects);
+        } else if job.is_ready(task.step) {
+            effects.push(Effect::Ready(task.step));
+        }
+    }
+
+    /// Marks a task, or with it its whole gang, as done.
+    fn task_done(
+        &mut self,
+        task: TaskRef,
+        gang: bool,
+        life: LifeId,
+        run: RunNumber,
+        at: Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(step) = job.step_mut(task.step) else { return };
+        for (index, member) in step.tasks.iter_mut().enumerate() {
+            let index = index as u32;
+            if member.progress == Progress::Done || (!gang && index != task.index) {
+                continue;
+            }
+            if let Progress::Placed(there) = member.progress {
+                // The members of this run end together; any other run is not needed any more.
+                let same = there == life && member.run == run && index == task.index;
+                let together = gang && member.run == run;
+                if !(same || together) {
+                    let task = TaskRef { step: task.step, index };
+                    effects.push(Effect::Superseded { life: there, task, run: member.run });
+                }
+            }
+            member.progress = Progress::Done;
+            member.saved = None;
+            step.done += 1;
+        }
+        if !step.is_done() {
+            return;
+        }
+        let occurrence = task.step.occurrence;
+        if job.occurrences.get(&occurrence).is_some_and(Occurrence::is_done) {
+            job.occurrences.remove(&occurrence);
+            job.finished += 1;
+            if job.finished >= job.times() {
+                end_job(job, Phase::Complete, at, effects);
+            }
+            return;
+        }
+        let ready = job.steps_ready().filter(|step| step.occurrence == occurrence);
+        effects.extend(ready.map(Effect::Ready));
+    }
+
+    pub(super) fn lost(
+        &mut self,
+        id: LifeId,
+        task: TaskRef,
+        run: RunNumber,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(life) = self.lives.get_mut(&id) {
+            if life.remove(task, run) {
+                effects.push(Effect::Freed { life: id, task, run, kind: None });
+            }
+        }
+        self.wait_again(id, task, run, effects);
+    }
+
+    /// The task waits for another place, if this run of it was the latest.
+    pub(super) fn wait_again(
+        &mut self,
+        id: LifeId,
+        task: TaskRef,
+        run: RunNumber,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if job.phase.is_over() {
+            return;
+        }
+        let gang = job.request.as_ref().is_some_and(|request| {
+            request.steps.get(usize::from(task.step.step)).is_some_and(|spec| spec.gang)
+        });
+        let Some(step) = job.step_mut(task.step) else { return };
+        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        if state.progress != Progress::Placed(id) || state.run != run {
+            return;
+        }
+        state.progress = Progress::Waiting;
+        if gang {
+            effects.push(Effect::GangBroken(task.step));
+        }
+        if job.is_ready(task.step) {
+            effects.push(Effect::Ready(task.step));
+        }
+    }
+}
+
+/// Nothing of the job will run any more.
+pub(super) fn end_job(job: &mut Job, phase: Phase, at: Timestamp, effects: &mut Vec<Effect>) {
+    job.phase = phase;
+    job.ended = Some(at);
+    job.request = None;
+    job.occurrences = SortedMap::default();
+    effects.push(Effect::JobOver(job.id));
+}
+
+/// The task of an ended run waits again. Failed runs of the task, or of its gang, so far; `None`
+/// where the run was not the latest.
+fn wait_after_end(
+    job: &mut Job,
+    task: TaskRef,
+    run: RunNumber,
+    life: LifeId,
+    kind: EndKind,
+    saved: Option<String>,
+) -> Option<u32> {
+    let gang = job.request.as_ref()?.steps.get(usize::from(task.step.step))?.gang;
+    let step = job.step_mut(task.step)?;
+    let state = step.tasks.get_mut(task.index as usize)?;
+    if state.progress != Progress::Placed(life) || state.run != run {
+        return None;
+    }
+    let failed = kind == EndKind::Failed;
+    state.progress = Progress::Waiting;
+    state.failures += u32::from(failed);
+    let failures = state.failures;
+    if !gang {
+        if saved.is_some() {
+            state.saved = saved;
+        }
+        return Some(failures);
+    }
+    if saved.is_some() {
+        // Saved progress of any member is good for all, and all must go on from the same.
+        for member in &mut step.tasks {
+            member.saved.clone_from(&saved);
+        }
+    }
+    // Several members may fail in one run; the gang has failed once.
+    if failed && run > step.failed_run {
+        step.failed_run = run;
+        step.gang_failures += 1;
+    }
+    Some(step.gang_failures)
+}
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -5,7 +5,7 @@
 use crate::io::Output;
 use crate::message::PeerMessage;
 use crate::node::Node;
-use jobs::Command;
+use jobs::{Command, Configuration};
 use std::time::Duration;
 use types::{ExchangeId, HostId, JobId, Refusal, RefusalKind, Timestamp, WorkerId};
 
@@ -209,20 +209,23 @@
                 };
                 self.answer(origin, answer);
             }
-            Call::Configure(configuration) => {
-                let in_force = state.configuration().version;
-                if configuration.version <= in_force {
-                    self.answer(origin, Ok(Answer::InForce(in_force)));
-                } else {
-                    self.change(origin, Command::Configure { configuration });
-                }
-            }
+            Call::Configure(configuration) => self.configure(origin, configuration),
             Call::ReadConfiguration => self.read_configuration(origin),
             Call::Beat(beat) => self.on_beat(origin, *beat),
             Call::Leave { worker } => self.on_leave(origin, &worker),
         }
     }
 
+    /// A version that is not higher changes nothing and is acknowledged all the same.
+    fn configure(&mut self, origin: Origin, configuration: Box<Configuration>) {
+        let in_force = self.state().map_or(0, |state| state.configuration().version);
+        if configuration.version <= in_force {
+            self.answer(origin, Ok(Answer::InForce(in_force)));
+        } else {
+            self.change(origin, Command::Configure { configuration });
+        }
+    }
+
     fn change(&mut self, origin: Origin, command: Command) {
         if !self.propose(&command, Then::Answer(origin.clone())) {
             self.refer(origin);
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -131,69 +131,90 @@
                     self.note_ready(state, step);
                     self.plan_due = true;
                 }
+                Effect::JobOver(id) => self.job_over(state, id, now),
+                Effect::LifeChanged(id) => {
+                    if !self.sessions.contains_key(&id) {
+                        self.begin_session(state, id, cfg, now);
+                    }
+                    self.plan_due = true;
+                }
+                Effect::LifeOver(id) => {
+                    self.sessions.remove(&id);
+                    self.beats.remove(&id);
+                    self.speeds.forget(id);
+                    self.plan_due = true;
+                }
                 Effect::Placed { life, task, run } => {
                     stats.starts += 1;
-                    log::info!(job = hex(task.step.job).as_str(), step = task.step.step,
-                        index = task.index, run = run, life = life, term = self.term;
-                        "task placed");
-                    if let Some(session) = self.sessions.get_mut(&life) {
-                        session.add_run(task, run, now);
-                        if let Some(expected) = expected(state, task, run) {
-                            session.expect(task, run, expected);
-                        }
-                    }
+                    self.placed(state, life, task, run, now);
                 }
                 Effect::Freed { life, task, run, kind } => {
                     count_end(stats, kind);
-                    self.plan_due = true;
-                    log::info!(job = hex(task.step.job).as_str(), step = task.step.step,
-                        index = task.index, run = run, life = life, kind = kind_name(kind);
-                        "run ended");
-                    if kind == Some(EndKind::Done) {
-                        self.learn(life, task, run, now);
-                    }
-                    let Some(session) = self.sessions.get_mut(&life) else { continue };
-                    session.remove_run(task, run);
-                    match kind {
-                        Some(EndKind::Done) => session.note_outcome(task.step.job, true, now),
-                        Some(EndKind::Failed) => session.note_outcome(task.step.job, false, now),
-                        _ => {}
-                    }
+                    self.freed(life, task, run, kind, now);
                 }
+                Effect::GangBroken(step) => self.stop_where(|task| task.step == step, now),
                 Effect::Noted { life, upto } => {
                     if let Some(session) = self.sessions.get_mut(&life) {
                         session.noted(upto, now);
                     }
                 }
-                Effect::GangBroken(step) => self.stop_where(|task| task.step == step, now),
                 Effect::Superseded { life, task, run } => {
                     if let Some(session) = self.sessions.get_mut(&life) {
                         session.stop_run(task, run, now);
                     }
                 }
-                Effect::JobOver(id) => {
-                    log_over(state, id, now);
-                    self.stop_where(|task| task.step.job == id, now);
-                    self.ready.retain(|step, _| step.job != id);
-                    self.advice.retain(|step| step.job != id);
-                    self.scheduled.retain(|job| *job != id);
-                }
-                Effect::LifeChanged(id) => {
-                    if !self.sessions.contains_key(&id) {
-                        self.begin_session(state, id, cfg, now);
-                    }
-                    self.plan_due = true;
-                }
-                Effect::LifeOver(id) => {
-                    self.sessions.remove(&id);
-                    self.beats.remove(&id);
-                    self.speeds.forget(id);
-                    self.plan_due = true;
-                }
             }
         }
     }
 
+    fn placed(
+        &mut self,
+        state: &State,
+        life: LifeId,
+        task: TaskRef,
+        run: RunNumber,
+        now: Timestamp,
+    ) {
+        log::info!(job = hex(task.step.job).as_str(), step = task.step.step, index = task.index,
+            run = run, life = life, term = self.term; "task placed");
+        let Some(session) = self.sessions.get_mut(&life) else { return };
+        session.add_run(task, run, now);
+        if let Some(expected) = expected(state, task, run) {
+            session.expect(task, run, expected);
+        }
+    }
+
+    fn freed(
+        &mut self,
+        life: LifeId,
+        task: TaskRef,
+        run: RunNumber,
+        kind: Option<EndKind>,
+        now: Timestamp,
+    ) {
+        log::info!(job = hex(task.step.job).as_str(), step = task.step.step, index = task.index,
+            run = run, life = life, kind = kind_name(kind); "run ended");
+        self.plan_due = true;
+        if kind == Some(EndKind::Done) {
+            self.learn(life, task, run, now);
+        }
+        let Some(session) = self.sessions.get_mut(&life) else { return };
+        session.remove_run(task, run);
+        match kind {
+            Some(EndKind::Done) => session.note_outcome(task.step.job, true, now),
+            Some(EndKind::Failed) => session.note_outcome(task.step.job, false, now),
+            _ => {}
+        }
+    }
+
+    fn job_over(&mut self, state: &State, id: JobId, now: Timestamp) {
+        log_over(state, id, now);
+        self.stop_where(|task| task.step.job == id, now);
+        self.ready.retain(|step, _| step.job != id);
+        self.advice.retain(|step| step.job != id);
+        self.scheduled.retain(|job| *job != id);
+    }
+
     fn note_ready(&mut self, state: &State, step: StepRef) {
         if let Some(urgency) = urgency(state, step, &self.speeds) {
             self.ready.insert(step, urgency);
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -170,17 +170,7 @@
                 Allowed::Only(known.good(now, advice.ticket_life).collect())
             }
         };
-        let mut placed: Vec<(LifeId, u32)> = Vec::new();
-        if spec.max_per_worker > 0 {
-            for task in &progress.tasks {
-                if let Progress::Placed(life) = task.progress {
-                    match placed.iter_mut().find(|(id, _)| *id == life) {
-                        Some((_, count)) => *count += 1,
-                        None => placed.push((life, 1)),
-                    }
-                }
-            }
-        }
+        let placed = if spec.max_per_worker > 0 { count_placed(progress) } else { Vec::new() };
         Some(Demand {
             step,
             tasks: progress.waiting().collect(),
@@ -274,3 +264,17 @@
     let objective = policy.objective(chain);
     Some(Urgency { priority: policy.priority, submitted: due, objective, left })
 }
+
+/// Tasks of a step that have a place, by life.
+fn count_placed(progress: &jobs::StepState) -> Vec<(LifeId, u32)> {
+    let mut placed: Vec<(LifeId, u32)> = Vec::new();
+    for task in &progress.tasks {
+        if let Progress::Placed(life) = task.progress {
+            match placed.iter_mut().find(|(id, _)| *id == life) {
+                Some((_, count)) => *count += 1,
+                None => placed.push((life, 1)),
+            }
+        }
+    }
+    placed
+}
