--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -31,16 +31,16 @@
 
 /// What could be had on a worker beyond what is free.
 #[derive(Clone, Debug, Default)]
-pub struct Givers {
+pub struct Reclaimable {
     /// What is free soon: runs that are being stopped.
     pub stopping: Room,
     /// Runs that can be stopped and go on later from where they were, least done first.
-    pub pausable: Vec<Pausable>,
+    pub pausable: Vec<PausableRun>,
 }
 
 /// A run that can be stopped and go on later from where it was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pausable {
+pub struct PausableRun {
     /// The task.
     pub task: TaskRef,
     /// Number of the run.
@@ -154,11 +154,11 @@
     (tier, priority, (submitted + objective).saturating_sub(left))
 }
 
-/// Places what fits, in the order given. `rooms`, sorted by life, is used up on the way. `givers`
+/// Places what fits, in the order given. `rooms`, sorted by life, is used up on the way. `reclaimable`
 /// says what more could be had on a worker; it is asked only where something tight is short.
-pub fn plan<F>(rooms: &mut [WorkerRoom<'_>], demands: &[Demand], givers: F) -> StepPlan
+pub fn plan<F>(rooms: &mut [WorkerRoom<'_>], demands: &[Demand], reclaimable: F) -> StepPlan
 where
-    F: Fn(LifeId) -> Givers,
+    F: Fn(LifeId) -> Reclaimable,
 {
     let mut asked = SortedMap::default();
     let mut plan = StepPlan::default();
@@ -171,7 +171,14 @@
                 Some(chosen) => take(rooms, demand, chosen, &mut plan),
                 None => {
                     plan.short.push(demand.step);
-                    make_room(rooms, demand, demand.tasks.len(), &givers, &mut asked, &mut plan);
+                    make_room(
+                        rooms,
+                        demand,
+                        demand.tasks.len(),
+                        &reclaimable,
+                        &mut asked,
+                        &mut plan,
+                    );
                     if kept < GANGS_WITH_KEPT_ROOM {
                         kept += 1;
                         keep_room(rooms, demand, &candidates);
@@ -183,7 +190,7 @@
             if chosen.len() < demand.tasks.len() {
                 plan.short.push(demand.step);
                 let missing = demand.tasks.len() - chosen.len();
-                make_room(rooms, demand, missing, &givers, &mut asked, &mut plan);
+                make_room(rooms, demand, missing, &reclaimable, &mut asked, &mut plan);
             }
             take(rooms, demand, chosen, &mut plan);
         }
@@ -297,11 +304,11 @@
     rooms: &mut [WorkerRoom<'_>],
     demand: &Demand,
     count: usize,
-    givers: &F,
-    asked: &mut SortedMap<LifeId, Givers>,
+    reclaimable: &F,
+    asked: &mut SortedMap<LifeId, Reclaimable>,
     plan: &mut StepPlan,
 ) where
-    F: Fn(LifeId) -> Givers,
+    F: Fn(LifeId) -> Reclaimable,
 {
     if !demand.tight || !demand.can_wait_for_stop {
         return;
@@ -322,23 +329,23 @@
             continue;
         }
         let life = room.life;
-        let giver = asked.get_or_insert_with(life, || givers(life));
-        while left > 0 && give_room(room, giver, demand, plan) {
+        let reclaimable = asked.get_or_insert_with(life, || reclaimable(life));
+        while left > 0 && reclaim_room(room, reclaimable, demand, plan) {
             left -= 1;
         }
     }
 }
 
 /// Finds room for one task on a worker where runs may be stopped for it. False when there is none.
-fn give_room(
+fn reclaim_room(
     room: &mut WorkerRoom<'_>,
-    giver: &mut Givers,
+    reclaimable: &mut Reclaimable,
     demand: &Demand,
     plan: &mut StepPlan,
 ) -> bool {
-    let mut soon = room.free.plus(&giver.stopping);
+    let mut soon = room.free.plus(&reclaimable.stopping);
     let mut victims = 0;
-    for run in giver.pausable.iter().filter(|run| run.priority > demand.priority) {
+    for run in reclaimable.pausable.iter().filter(|run| run.priority > demand.priority) {
         if demand.need.fits_in(&soon) {
             break;
         }
@@ -349,7 +356,7 @@
         return false;
     }
     let mut stopped = 0;
-    giver.pausable.retain(|run| {
+    reclaimable.pausable.retain(|run| {
         let stop = stopped < victims && run.priority > demand.priority;
         if stop {
             stopped += 1;
@@ -359,7 +366,7 @@
     });
     // The room is this demand's from now on.
     let beyond_free = demand.need.minus(&room.free);
-    giver.stopping = soon.minus(&room.free).minus(&beyond_free);
+    reclaimable.stopping = soon.minus(&room.free).minus(&beyond_free);
     room.free = room.free.minus(&demand.need);
     true
 }
--- a/crates/placement/tests/steps.rs
+++ b/crates/placement/tests/steps.rs
@@ -2,7 +2,7 @@
 
 use jobs::{LifeId, Placement, Room, StepRef, TaskRef, WorkerInfo};
 use placement::steps::{
-    plan, rank, Allowed, Demand, Givers, Pausable, StepPlan, Urgency, WorkerRoom,
+    plan, rank, Allowed, Demand, PausableRun, Reclaimable, StepPlan, Urgency, WorkerRoom,
 };
 use std::time::Duration;
 
@@ -51,7 +51,7 @@
 }
 
 fn run(rooms: &mut [WorkerRoom<'_>], demands: &[Demand]) -> StepPlan {
-    plan(rooms, demands, |_| Givers::default())
+    plan(rooms, demands, |_| Reclaimable::default())
 }
 
 fn placed(plan: &StepPlan, job: u64) -> usize {
@@ -131,20 +131,21 @@
 fn only_tight_work_of_a_higher_priority_pauses_runs_and_no_more_than_it_needs() {
     let infos = vec![info("r1"); 1];
     let task = |index| TaskRef { step: step(9), index };
-    let pausable = |index| Pausable {
+    let pausable = |index| PausableRun {
         task: task(index),
         run: 1,
         need: Room { cpu: 2_000, memory: 10, gpu: 0 },
         priority: 2,
     };
-    let givers = |_| Givers { stopping: Room::default(), pausable: (0..4).map(pausable).collect() };
+    let reclaimable =
+        |_| Reclaimable { stopping: Room::default(), pausable: (0..4).map(pausable).collect() };
     let tight = |priority, can_wait_for_stop| Demand {
         tight: true,
         priority,
         can_wait_for_stop,
         ..demand(1, 1, 3_000)
     };
-    let pauses = |demand| plan(&mut rooms(&infos, &[0]), &[demand], givers).pauses;
+    let pauses = |demand| plan(&mut rooms(&infos, &[0]), &[demand], reclaimable).pauses;
     assert_eq!(pauses(tight(0, true)), [(1, task(0), 1), (1, task(1), 1)]);
     assert_eq!(pauses(tight(2, true)), [], "of the same priority");
     assert_eq!(pauses(tight(0, false)), [], "it would be late all the same");
@@ -213,17 +214,17 @@
             ..demand(*job, 1, if *urgent { 3_000 } else { 2_000 })
         };
         let demands: Vec<Demand> = queue.iter().take(40).map(wants).collect();
-        let givers = |life: LifeId| {
+        let reclaimable = |life: LifeId| {
             let here = running.iter().filter(|(w, .., urgent)| *w + 1 == life as usize && !urgent);
-            let pausable = here.map(|(_, job, _, cpu, _)| Pausable {
+            let pausable = here.map(|(_, job, _, cpu, _)| PausableRun {
                 task: TaskRef { step: step(*job), index: 0 },
                 run: 1,
                 need: Room { cpu: *cpu, memory: 10, gpu: 0 },
                 priority: 2,
             });
-            Givers { stopping: Room::default(), pausable: pausable.collect() }
+            Reclaimable { stopping: Room::default(), pausable: pausable.collect() }
         };
-        let decided = plan(&mut rooms(&infos, &free), &demands, givers);
+        let decided = plan(&mut rooms(&infos, &free), &demands, reclaimable);
         for (_, task, _) in &decided.pauses {
             let i = running.iter().position(|run| run.1 == task.step.job).expect("it runs");
             let (_, job, ..) = running.remove(i);
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -163,7 +163,7 @@
         let now = self.now;
         if self.known.live_leader(now).as_ref() == Some(from) {
             self.known.forget_leader();
-            self.known.next_hail = now;
+            self.known.next_beat = now;
         }
         if let Some(open) = self.calls.get_mut(&id) {
             open.retry_at = now + LOOK_AGAIN;
--- a/crates/scheduler/src/gossip.rs
+++ b/crates/scheduler/src/gossip.rs
@@ -1,7 +1,7 @@
 //! How hosts find the group and its leader, and learn of configurations.
 
 use crate::io::Output;
-use crate::message::{Hail, PeerMessage};
+use crate::message::{HostBeat, PeerMessage};
 use crate::node::Node;
 use consensus::{Config, Term, ANNOUNCE_EVERY};
 use jobs::Configuration;
@@ -10,17 +10,17 @@
 use types::{HostId, MemberId, SortedMap, Timestamp, Version};
 
 /// How often a host says that it is there.
-const HAIL_EVERY: Duration = Duration::from_millis(250);
+const BEAT_EVERY: Duration = Duration::from_millis(250);
 /// How often while no leader is known.
-const HAIL_IN_A_HURRY: Duration = Duration::from_millis(120);
+const BEAT_IN_A_HURRY: Duration = Duration::from_millis(120);
 /// A leader not heard for this long is looked for anew.
 const LEADER_SILENCE: Duration = Duration::from_millis(700);
-/// A host that hailed this recently can make calls for the leader.
+/// A host heard this recently can make calls for the leader.
 const PRESENT: Duration = Duration::from_millis(1_300);
 /// Hosts remembered; a cell has fewer that belong to the group.
 const MAX_KNOWN: usize = 64;
 
-/// A host that hails this one.
+/// A host whose heartbeats come here.
 #[derive(Clone, Debug)]
 struct Present {
     heard: Timestamp,
@@ -39,7 +39,7 @@
     /// Since when no leader is known.
     lost_at: Option<Timestamp>,
     present: SortedMap<HostId, Present>,
-    pub(crate) next_hail: Timestamp,
+    pub(crate) next_beat: Timestamp,
 }
 
 impl Known {
@@ -51,7 +51,7 @@
             leader_heard: None,
             lost_at: None,
             present: SortedMap::default(),
-            next_hail: Timestamp::ZERO,
+            next_beat: Timestamp::ZERO,
         }
     }
 
@@ -111,7 +111,7 @@
         self.leader_heard_within(now, LEADER_SILENCE).then(|| host.clone())
     }
 
-    /// Hosts that hailed lately and go on running.
+    /// Hosts heard lately and go on running.
     pub(crate) fn present(&self, now: Timestamp) -> Vec<HostId> {
         let here = self.present.iter().filter(|(_, p)| now < p.heard + PRESENT && !p.draining);
         here.map(|(host, _)| host.clone()).collect()
@@ -127,7 +127,7 @@
         use PeerMessage as M;
         match message {
             M::Raft(envelope) => self.on_raft(&from, envelope),
-            M::Hail(hail) => self.on_hail(&from, hail),
+            M::Beat(beat) => self.on_host_beat(&from, beat),
             M::Group { leader, members, leads, version } => {
                 self.on_group(&from, leader, members, leads, version)
             }
@@ -164,10 +164,10 @@
     pub(crate) fn gossip(&mut self) {
         let now = self.now;
         self.announce_folder();
-        if now < self.known.next_hail {
+        if now < self.known.next_beat {
             return;
         }
-        let hail = PeerMessage::Hail(Hail {
+        let beat = PeerMessage::Beat(HostBeat {
             process: self.process,
             version: self.configuration.version,
             draining: self.draining,
@@ -181,7 +181,7 @@
         if leads {
             self.known.leader_heard = Some(now);
             self.known.note_silence(now, true);
-            self.known.next_hail = now + HAIL_EVERY;
+            self.known.next_beat = now + BEAT_EVERY;
             return;
         }
         let known = self.known.live_leader(now).is_some();
@@ -190,21 +190,21 @@
         }
         match self.known.live_leader(now) {
             Some(leader) => {
-                self.known.next_hail = now + HAIL_EVERY;
-                self.send(&leader, hail);
+                self.known.next_beat = now + BEAT_EVERY;
+                self.send(&leader, beat);
             }
             None => {
-                self.known.next_hail = now + HAIL_IN_A_HURRY;
+                self.known.next_beat = now + BEAT_IN_A_HURRY;
                 let me = self.cfg.host.clone();
                 for host in self.known.candidates().into_iter().filter(|host| *host != me) {
-                    self.send(&host, hail.clone());
+                    self.send(&host, beat.clone());
                 }
             }
         }
     }
 
-    fn on_hail(&mut self, from: &HostId, hail: Hail) {
-        let Hail { version, draining, .. } = hail;
+    fn on_host_beat(&mut self, from: &HostId, beat: HostBeat) {
+        let HostBeat { version, draining, .. } = beat;
         self.known.present.insert(from.clone(), Present { heard: self.now, version, draining });
         let Some(group) = &self.group else { return };
         let leader = group.raft.leader_host().map(|host| (group.raft.term(), host.clone()));
@@ -231,7 +231,7 @@
             let found = self.known.note_leader(term, host);
             if found && !leads {
                 // Ask the new leader itself soon.
-                self.known.next_hail = self.now;
+                self.known.next_beat = self.now;
             }
         }
         let is_leader = self.known.leader.as_ref().is_some_and(|(_, host)| host == from);
@@ -256,7 +256,7 @@
         self.out.push(Output::Configured(self.configuration.clone()));
     }
 
-    /// Tells those that hail this host of a new configuration.
+    /// Tells hosts whose heartbeats come here of a new configuration.
     pub(crate) fn spread_configuration(&mut self) {
         let configuration = self.configuration.clone();
         let behind = self.known.present.iter().filter(|(_, p)| p.version < configuration.version);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -36,5 +36,5 @@
 pub use call::{Answer, Call, WorkerBeat};
 pub use config::{NodeConfig, NodeConfigBuilder, Start};
 pub use io::{Input, OrderDetails, Output};
-pub use message::{Hail, PeerMessage, PROTOCOL_VERSION};
+pub use message::{HostBeat, PeerMessage, PROTOCOL_VERSION};
 pub use node::{Node, NodeStats};
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -15,7 +15,7 @@
 
 /// How a host says that it is there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hail {
+pub struct HostBeat {
     /// Random number of the process.
     pub process: MemberId,
     /// Version of the configuration that it has.
@@ -30,8 +30,8 @@
     /// For the group's log.
     Raft(Envelope),
     /// The sender is there.
-    Hail(Hail),
-    /// Answer to a hail: who leads and who belongs to the group, as the sender knows.
+    Beat(HostBeat),
+    /// Answer to a heartbeat: who leads and who belongs to the group, as the sender knows.
     Group {
         /// Term and host of the leader.
         leader: Option<(Term, HostId)>,
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -218,7 +218,7 @@
 
     /// When [`Node::step`] is due at the latest.
     pub fn next_wakeup(&self) -> Timestamp {
-        let mut next = self.known.next_hail.min(self.now + Duration::from_millis(500));
+        let mut next = self.known.next_beat.min(self.now + Duration::from_millis(500));
         if let Some(group) = &self.group {
             if !group.raft.is_idle() {
                 return self.now;
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -6,7 +6,9 @@
 use dispatch::AdviceCall;
 use jobs::{Command, LifeId, Placement, Progress, Room, RunNumber, State, StepRef, TaskRef};
 use placement::speeds::Speeds;
-use placement::steps::{plan, rank, Allowed, Demand, Givers, Pausable, Urgency, WorkerRoom};
+use placement::steps::{
+    plan, rank, Allowed, Demand, PausableRun, Reclaimable, Urgency, WorkerRoom,
+};
 use std::time::Duration;
 use types::{HostId, Timestamp};
 
@@ -91,7 +93,7 @@
                 None => calls.extend(self.ask_about_more(state, step, &rooms, now)),
             }
         }
-        let decided = plan(&mut rooms, &demands, |life| self.givers(state, life));
+        let decided = plan(&mut rooms, &demands, |life| self.reclaimable(state, life));
         for (step, lives) in decided.renew {
             calls.extend(self.ask(state, step, lives, now));
         }
@@ -121,11 +123,11 @@
     }
 
     /// Room on a worker that is free soon, and runs that could be stopped without loss.
-    fn givers(&self, state: &State, life: LifeId) -> Givers {
+    fn reclaimable(&self, state: &State, life: LifeId) -> Reclaimable {
         let mut stopping = Room::default();
-        let mut pausable: Vec<(u32, Pausable)> = Vec::new();
+        let mut pausable: Vec<(u32, PausableRun)> = Vec::new();
         let (Some(session), Some(life)) = (self.sessions.get(&life), state.life(life)) else {
-            return Givers::default();
+            return Reclaimable::default();
         };
         for status in session.runs() {
             let of_life = |run: &&jobs::Run| (run.task, run.run) == (status.task, status.run);
@@ -140,12 +142,12 @@
             if loses_nothing && status.working_since.is_some() && status.percent < NEARLY_DONE {
                 let priority = state.policy(job.queue).priority;
                 let need = run.need;
-                let run = Pausable { task: status.task, run: status.run, need, priority };
+                let run = PausableRun { task: status.task, run: status.run, need, priority };
                 pausable.push((status.percent, run));
             }
         }
         pausable.sort_by_key(|(percent, _)| *percent);
-        Givers { stopping, pausable: pausable.into_iter().map(|(_, run)| run).collect() }
+        Reclaimable { stopping, pausable: pausable.into_iter().map(|(_, run)| run).collect() }
     }
 
     /// What a step wants, or `None` while it is not known which workers may run it.
