Prove the platform's edge on real sockets

Change: one process on a settings file: bad ids, steps, a 300 KB body, a body cut short (each 4xx with field and cause, memory bounded, nothing accepted); a job sent twice, seen, counted and cancelled; a configuration read back as sent, an older one acknowledged without effect; a settings file that can't be read; SIGTERM ends it with 0.

--- /dev/null
+++ b/crates/daemon/tests/on_platform.rs
@@ -0,0 +1,210 @@
+//! One process on the platform's settings file, over real sockets: bad input, a whole job's answers,
+//! a settings file that changes, a stop in order.
+
+use async_std::task::{block_on, sleep};
+use client::{Client, ClientBuilder, Method, Reply};
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// A generous limit: a test waits for what it expects and fails only when it does not come.
+const PATIENCE: Duration = Duration::from_secs(60);
+const CONFIG: &str = r#"{"version":3,"routes":[{"name":"r","host":"q.example","prefix":"/q/",
+    "timeoutMs":3000,"sloMs":250,"prio":0,"service":"s","attempts":3,"stretch":1.5}],
+    "services":[{"name":"s"}],"limits":{"bodyBytes":262144}}"#;
+const JOB: &str = r#"{"spec":"x","steps":[{"count":1,"cpu":100,"memMb":1,"estimateMs":50}]}"#;
+const HOST: [(&str, &str); 1] = [("host", "q.example")];
+
+struct Process {
+    child: Child,
+    callers: SocketAddr,
+    control: SocketAddr,
+    settings: PathBuf,
+    _folder: TempDir,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_ports() -> Vec<SocketAddr> {
+    let open: Vec<TcpListener> =
+        (0..5).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    open.iter().map(|listener| listener.local_addr().unwrap()).collect()
+}
+
+fn start() -> Process {
+    let folder = tempfile::tempdir().unwrap();
+    let ports = free_ports();
+    let (callers, ready, control, peers) = (ports[0], ports[1], ports[2], ports[3].port());
+    let text = format!(
+        "node=n-1\nip=127.0.0.1\nzone=a\nlisten.front={callers}\nlisten.ready={ready}\n\
+         listen.control={control}\nportRange={peers},{peers}\nseeds={control}\nbootstrap=true\n\
+         dataDir={}\nbounds.graceS=6\n",
+        folder.path().join("data").display()
+    );
+    let settings = folder.path().join("settings.conf");
+    fs::write(&settings, text).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_ebonywalkd"))
+        .args(["on-platform", "--metrics-port", &ports[4].port().to_string()])
+        .env("EBONYWALK_SETTINGS", &settings)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    Process { child, callers, control, settings, _folder: folder }
+}
+
+impl Process {
+    fn callers(&self) -> Client {
+        ClientBuilder::new(self.callers.to_string()).build()
+    }
+
+    fn control(&self) -> Client {
+        ClientBuilder::new(self.control.to_string()).build()
+    }
+
+    /// Puts the configuration in force and waits until callers are served.
+    async fn configure(&self) {
+        let began = Instant::now();
+        while began.elapsed() < PATIENCE {
+            let body = CONFIG.as_bytes().to_vec();
+            let sent = self.control().send(Method::Put, "/api/config", &[], body).await;
+            let counted = self.callers().send(Method::Get, "/q/", &HOST, Vec::new()).await;
+            let good = |reply: &Reply| reply.status == 200;
+            if sent.is_ok_and(|reply| good(&reply)) && counted.is_ok_and(|reply| good(&reply)) {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("no configuration in force after {PATIENCE:?}");
+    }
+
+    async fn post(&self, id: &str, body: &[u8]) -> Reply {
+        let path = format!("/q/{id}");
+        self.callers().send(Method::Post, &path, &HOST, body.to_vec()).await.unwrap()
+    }
+
+    fn resident_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+}
+
+#[test]
+fn bad_input_hears_what_is_wrong_and_the_process_stays_up() {
+    block_on(async {
+        let process = start();
+        process.configure().await;
+        let id = "5c0e7a21d94b36f8";
+        let steps = |step: &str| format!(r#"{{"spec":"x","steps":[{step}]}}"#);
+        let cases: [(&str, String, u16, &str); 8] = [
+            ("5c0e", JOB.to_string(), 400, "id: must be 16"),
+            ("zz0e7a21d94b36f8", JOB.to_string(), 400, "id: must be 16"),
+            (id, steps(r#"{"count":0}"#), 400, "steps[0].count: must not be 0"),
+            (id, steps(r#"{"count":1000000}"#), 400, "steps[0].count: 1000000"),
+            (id, steps(r#"{"count":1,"after":[0]}"#), 400, "steps[0].after"),
+            (id, steps(r#"{"count":1,"colour":1}"#), 400, "unknown field"),
+            (id, "{".to_string(), 400, "EOF"),
+            (id, "x".repeat(300 << 10), 413, "body: over 262144 bytes"),
+        ];
+        for (id, body, status, cause) in &cases {
+            let reply = process.post(id, body.as_bytes()).await;
+            assert_eq!(reply.status, *status, "{}", reply.text());
+            assert!(reply.text().contains(cause), "{}", reply.text());
+        }
+        cut_short(process.callers);
+        let before = process.resident_kib();
+        for _ in 0..40 {
+            process.post(id, "x".repeat(300 << 10).as_bytes()).await;
+        }
+        let grown = process.resident_kib().saturating_sub(before);
+        assert!(grown < 16 << 10, "memory grew by {grown} KiB");
+        let state = |reply: Reply| (reply.status, reply.text());
+        let get = process.callers().send(Method::Get, &format!("/q/{id}"), &HOST, Vec::new()).await;
+        assert_eq!(state(get.unwrap()).0, 410, "nothing of it was accepted");
+    });
+}
+
+/// A body that ends before its announced length.
+fn cut_short(addr: SocketAddr) {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    let head =
+        "POST /q/5c0e7a21d94b36f8 HTTP/1.1\r\nhost: q.example\r\ncontent-length: 500\r\n\r\n{";
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    // A connection closed with bytes unread may take the answer with it.
+    let _ = stream.read_to_string(&mut answer);
+    assert!(answer.is_empty() || answer.contains(" 400 "), "{answer}");
+}
+
+#[test]
+fn a_job_is_accepted_once_seen_counted_and_cancelled() {
+    block_on(async {
+        let process = start();
+        process.configure().await;
+        let id = "00000000000000a1";
+        for _ in 0..2 {
+            assert_eq!(process.post(id, JOB.as_bytes()).await.status, 200);
+        }
+        let callers = process.callers();
+        let path = format!("/q/{id}");
+        let send = |method, path: String| {
+            let callers = callers.clone();
+            async move { callers.send(method, &path, &HOST, Vec::new()).await.unwrap() }
+        };
+        let seen = send(Method::Get, path.clone()).await;
+        assert_eq!((seen.status, seen.text().as_str()), (200, r#"{"state":"queued"}"#));
+        let counted = send(Method::Get, "/q/".to_string()).await;
+        assert_eq!(counted.text(), r#"{"waiting":1}"#, "the same id is one job");
+        assert_eq!(send(Method::Delete, path.clone()).await.status, 200);
+        assert_eq!(send(Method::Get, path).await.text(), r#"{"state":"cancelled"}"#);
+        assert_eq!(send(Method::Delete, "/q/00000000000000ff".to_string()).await.status, 410);
+        assert_eq!(send(Method::Get, "/none/00000000000000a1".to_string()).await.status, 404);
+        let read =
+            process.control().send(Method::Get, "/api/config", &[], Vec::new()).await.unwrap();
+        assert_eq!(read.text(), CONFIG, "it is read back as it was sent");
+        let older = CONFIG.replace("\"version\":3", "\"version\":2").replace("\"s\"", "\"t\"");
+        let put = process.control().send(Method::Put, "/api/config", &[], older.into_bytes()).await;
+        assert_eq!(put.unwrap().status, 200, "an older version is acknowledged");
+        let read =
+            process.control().send(Method::Get, "/api/config", &[], Vec::new()).await.unwrap();
+        assert_eq!(read.text(), CONFIG, "and changes nothing");
+    });
+}
+
+#[test]
+fn a_bad_settings_file_changes_nothing_and_a_stop_ends_in_order() {
+    block_on(async {
+        let mut process = start();
+        process.configure().await;
+        fs::write(&process.settings, "node\n").unwrap();
+        signal(&process, "HUP");
+        assert_eq!(process.post("00000000000000a2", JOB.as_bytes()).await.status, 200);
+        signal(&process, "TERM");
+        let began = Instant::now();
+        let ended = loop {
+            if let Some(status) = process.child.try_wait().unwrap() {
+                break status;
+            }
+            assert!(began.elapsed() < PATIENCE, "it does not stop");
+            sleep(Duration::from_millis(50)).await;
+        };
+        assert!(ended.success(), "{ended}");
+    });
+}
+
+fn signal(process: &Process, name: &str) {
+    let pid = process.child.id().to_string();
+    let status = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
+    assert!(status.success());
+}
