Give up the runs of a worker that is gone for good

Cause: each poll of a worker renewed its lease in the leader's account, also a poll of a worker that had answered nothing for a long time, since such a poll may still be carried out. The end of the lease therefore moved on by six seconds with each unanswered poll, and the runs of a worker that died without a word and never came back as a new life were never given up. A gang that had a member there was never idle again, so its other members, which ended as broken, were not started either.

Change: after an unanswered order, polls grant no lease and starts carry the one granted before; the first answer renews it again.

--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -298,7 +298,7 @@
         let quiet = self.leader_accepted && self.timeouts == 0;
         let unconfirmed = self.runs.iter().any(|entry| entry.stage != Stage::Running);
         let wait = if quiet && !unconfirmed { self.cfg.long_poll_wait } else { Duration::ZERO };
-        let lease_until = self.lease_end(now);
+        let lease_until = self.renewed_lease(now);
         self.leased_until = self.leased_until.max(lease_until.unwrap_or(0));
         // A worker that did not answer may have been restarted. Its new life numbers ends from 1
         // again, so acknowledging the old number would discard ends that are not recorded.
@@ -307,7 +307,7 @@
     }
 
     fn poll_runs(&mut self, now: Timestamp, orders: &mut Vec<(OrderId, Order)>) {
-        let lease_until = self.lease_end(now);
+        let lease_until = self.lease_for_start(now);
         let mut last_order = self.last_order;
         for entry in &mut self.runs {
             if entry.pending.is_some() || now < entry.retry_at || entry.reported {
@@ -371,12 +371,27 @@
         Some(own.max(earlier))
     }
 
+    /// The lease that a poll grants; `None` if it leaves the lease as it is. A worker that did not
+    /// answer the last order is granted nothing more: its runs could otherwise never be given up.
+    fn renewed_lease(&self, now: Timestamp) -> Option<u64> {
+        let renews = self.timeouts == 0 || self.cfg.injected_bug == InjectedBug::RenewUnanswered;
+        self.lease_end(now).filter(|_| renews)
+    }
+
+    /// The lease that a start needs: that of a poll or, while polls grant nothing, the one granted
+    /// before. `None` if there is none that can still hold.
+    fn lease_for_start(&self, now: Timestamp) -> Option<u64> {
+        let estimated_clock = self.lease_end(now)?.saturating_sub(millis(self.cfg.lease));
+        let granted = Some(self.leased_until).filter(|until| *until > estimated_clock);
+        self.renewed_lease(now).or(granted)
+    }
+
     /// The end of a lease granted now, in milliseconds on the worker's clock; `None` if its clock
     /// is not known.
     fn lease_end(&self, now: Timestamp) -> Option<u64> {
         let clock = self.clock?;
         let elapsed = now.saturating_sub(clock.at).as_millis() as u64;
-        Some(clock.millis + elapsed + self.cfg.lease.as_millis() as u64)
+        Some(clock.millis + elapsed + millis(self.cfg.lease))
     }
 
     fn next_order(&mut self) -> OrderId {
@@ -385,6 +400,10 @@
     }
 }
 
+fn millis(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
+
 /// Upper bound of the local time that elapses during `span` on the worker's clock.
 fn max_elapsed(span: Duration) -> Duration {
     span * 1_000 / MIN_CLOCK_RATE_PERMILLE
--- a/crates/dispatch/src/session/config.rs
+++ b/crates/dispatch/src/session/config.rs
@@ -17,6 +17,9 @@
     AcknowledgeEndsEarly,
     /// The next life of a worker is assumed to carry out no orders to the previous life.
     ForgetInDoubtStarts,
+    /// Leases are renewed by orders that a silent worker does not answer, so that its runs are
+    /// never given up.
+    RenewUnanswered,
 }
 
 /// Timing parameters of a session.
--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -358,3 +358,40 @@
     world.run_until(world.now + 100);
     assert_eq!(world.waiting, 0, "no job should wait");
 }
+
+/// Jobs whose tasks ran on workers that died and never came back, and how many of them are not over
+/// 25 s later.
+fn open_jobs_after_losing_workers_for_good(injected_bug: InjectedBug) -> (usize, usize) {
+    let mut world = World::new(11, injected_bug);
+    world.configure(1);
+    world.run_until(6_000);
+    let mut ids = Vec::new();
+    for _ in 0..12 {
+        ids.push(world.submit());
+        world.run_until(world.now + 60);
+    }
+    let mut hit: Vec<_> = Vec::new();
+    for w in [1, 2] {
+        hit.extend(world.workers[w].runs.keys().map(|(task, _)| task.step.job));
+        world.crash_worker(w);
+    }
+    hit.sort_unstable();
+    hit.dedup();
+    world.run_until(world.now + 25_000);
+    world.ask_all();
+    world.run_until(world.now + 500);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    let open = ids.iter().filter(|id| !world.jobs[*id].shown.is_some_and(Phase::is_over)).count();
+    (hit.len(), open)
+}
+
+/// Guards against runs that outlive their worker: a worker that dies without a word and never comes
+/// back must lose its runs once its lease has expired, although the leader goes on asking it.
+#[test]
+fn what_ran_on_a_worker_that_is_gone_for_good_starts_again() {
+    let (hit, open) = open_jobs_after_losing_workers_for_good(InjectedBug::None);
+    assert!(hit >= 2, "only {hit} jobs ran on the lost workers: the test is meaningless");
+    assert_eq!(open, 0, "jobs that are not over");
+    let (_, open) = open_jobs_after_losing_workers_for_good(InjectedBug::RenewUnanswered);
+    assert!(open > 0, "leases that are renewed without an answer were not noticed");
+}
