Open a log of which a power loss has kept a later part and lost an earlier one

Cause: changes of the commit index alone were written to the log without a sync, and several frames could be written before one sync. A power loss keeps or loses each unsynced write by itself. Where it lost one frame and kept a later one, the frame read as zeros (a length of 0 whose checksum matches) or as a wrong checksum with data behind it, was taken for damage, and the data directory never opened again: a host out of the group for good.

Change: what is appended waits in memory and is written as one frame right before its sync, so at most one frame is unsynced, and a commit index alone is no write any more. A frame that can't be read counts as damage only if a readable frame follows; a length of 0 never does.

After: every range of missing bytes after the last sync opens with all synced entries; damage in the middle is still an error that names its place.

--- a/crates/storage/src/frame.rs
+++ b/crates/storage/src/frame.rs
@@ -28,13 +28,14 @@
     Complete(T, usize),
     /// The input is empty.
     End,
-    /// The last frame is truncated or has a wrong checksum: its write was interrupted.
+    /// No frame can be read, and none follows: the write of the last frame was interrupted.
     Torn,
     /// The frame was damaged after it was written, for this reason.
     Corrupt(String),
 }
 
-/// Decodes the frame at the start of `buf`.
+/// Decodes the frame at the start of `buf`. A frame that can't be read is damaged if a readable one
+/// follows anywhere: frames are synced one by one, so it was on disk by then.
 pub(crate) fn decode<T>(buf: &[u8]) -> Frame<T>
 where
     T: DeserializeOwned,
@@ -42,26 +43,54 @@
     if buf.is_empty() {
         return Frame::End;
     }
-    // A crash may leave zeros at the end, as a file can grow before its contents reach the disk.
-    if buf.len() < HEADER_BYTES || buf.iter().all(|b| *b == 0) {
-        return Frame::Torn;
+    match decode_one(buf) {
+        Ok((value, end)) => Frame::Complete(value, end),
+        Err(cause) => {
+            let rest = |at: usize| &buf[at..];
+            let is_frame = |at| leads_to_end(rest(at)) && decode_one::<T>(rest(at)).is_ok();
+            if (1..buf.len()).any(is_frame) {
+                Frame::Corrupt(cause)
+            } else {
+                Frame::Torn
+            }
+        }
     }
-    let word = |at: usize| u32::from_le_bytes([buf[at], buf[at + 1], buf[at + 2], buf[at + 3]]);
-    let length = word(0) as usize;
-    let end = HEADER_BYTES + length;
-    if length > MAX_FRAME_BYTES {
-        return Frame::Corrupt(format!("frame length {length} exceeds {MAX_FRAME_BYTES}"));
+}
+
+/// Whether the lengths of the frames from the start of `buf` on lead to its end. This rules out
+/// almost all places that are no start of a frame, without a look at the contents.
+fn leads_to_end(buf: &[u8]) -> bool {
+    let mut rest = buf;
+    while rest.len() >= HEADER_BYTES {
+        let length = u32::from_le_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
+        match rest.get(HEADER_BYTES + length..) {
+            Some(next) if length > 0 => rest = next,
+            _ => return false,
+        }
     }
-    if end > buf.len() {
-        return Frame::Torn;
+    rest.is_empty() && !buf.is_empty()
+}
+
+/// Decodes the frame at the start of `buf`. Returns the value and the size of the frame, or why it
+/// can't be read.
+fn decode_one<T>(buf: &[u8]) -> Result<(T, usize), String>
+where
+    T: DeserializeOwned,
+{
+    if buf.len() < HEADER_BYTES {
+        return Err("the header is incomplete".to_string());
     }
-    let contents = &buf[HEADER_BYTES..end];
-    if crc32fast::hash(contents) != word(4) {
-        let last = end == buf.len() || buf[end..].iter().all(|b| *b == 0);
-        return if last { Frame::Torn } else { Frame::Corrupt("wrong checksum".to_string()) };
+    let word = |at: usize| u32::from_le_bytes([buf[at], buf[at + 1], buf[at + 2], buf[at + 3]]);
+    let (length, checksum) = (word(0) as usize, word(4));
+    // An interrupted write may leave zeros, which would pass as an empty frame with its checksum.
+    if length == 0 || length > MAX_FRAME_BYTES {
+        return Err(format!("frame length {length} is not within 1 to {MAX_FRAME_BYTES}"));
     }
-    match postcard::from_bytes(contents) {
-        Ok(value) => Frame::Complete(value, end),
-        Err(e) => Frame::Corrupt(e.to_string()),
+    let contents = buf.get(HEADER_BYTES..HEADER_BYTES + length);
+    let contents = contents.ok_or_else(|| "the frame is incomplete".to_string())?;
+    if crc32fast::hash(contents) != checksum {
+        return Err("wrong checksum".to_string());
     }
+    let value = postcard::from_bytes(contents).map_err(|e| e.to_string())?;
+    Ok((value, HEADER_BYTES + length))
 }
--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -19,7 +19,7 @@
 pub type SyncFn = Box<dyn FnMut(&File) -> io::Result<()> + Send>;
 
 /// The contents of one log frame, which is written at once.
-#[derive(Serialize, Deserialize)]
+#[derive(Default, Serialize, Deserialize)]
 struct Batch {
     hard_state: Option<HardState>,
     entries: Vec<Entry>,
@@ -44,6 +44,8 @@
     /// Earlier segments in ascending order.
     closed: Vec<ClosedSegment>,
     hard_state: HardState,
+    /// What was appended since the last frame was written.
+    pending: Batch,
     /// Whether something was appended that the next `sync` must wait for.
     unsynced: bool,
     sync: SyncFn,
@@ -85,11 +87,13 @@
             last_index: 0,
             closed,
             hard_state,
+            pending: Batch::default(),
             unsynced: false,
             sync: Box::new(File::sync_data),
         };
         let Some(snapshot) = snapshot else { return Ok((store, None)) };
-        store.write_batch(&Batch { hard_state: Some(hard_state), entries: Vec::new() })?;
+        store.pending.hard_state = Some(hard_state);
+        store.require_sync();
         store.sync()?;
         entries.retain(|e| e.index > snapshot.index);
         check_contiguous(path, &snapshot, &entries)?;
@@ -107,8 +111,10 @@
         self.sync = sync;
     }
 
-    /// Writes the snapshot, entries and hard state of `ready`. They are durable only once
-    /// [`GroupStore::sync`] has returned.
+    /// Takes the snapshot, entries and hard state of `ready`. They are durable only once
+    /// [`GroupStore::sync`] has returned. All entries until then are written as one frame: were
+    /// several frames written before a sync, a power loss could keep a later one and lose an
+    /// earlier one, which can't be told from damage.
     pub fn append(&mut self, ready: &Ready) -> Result<(), Error> {
         if let Some(snapshot) = &ready.snapshot {
             snapshot::write(&self.path.join(SNAPSHOT_FILE), snapshot)?;
@@ -125,7 +131,9 @@
         // sync.
         let voted = (before.term, before.vote) != (self.hard_state.term, self.hard_state.vote);
         self.unsynced |= voted || !ready.entries.is_empty();
-        self.write_batch(&Batch { hard_state: ready.hard_state, entries: ready.entries.clone() })
+        self.pending.hard_state = Some(self.hard_state);
+        append_batch(&mut self.pending.entries, ready.entries.clone());
+        Ok(())
     }
 
     /// Forces the next [`GroupStore::sync`] to wait for the disk even if only the commit index
@@ -139,6 +147,10 @@
         if !std::mem::take(&mut self.unsynced) {
             return Ok(false);
         }
+        let pending = std::mem::take(&mut self.pending);
+        if pending.hard_state.is_some() {
+            self.write_batch(&pending)?;
+        }
         (self.sync)(&self.file).map_err(Error::io(&self.path, "syncing the log"))?;
         Ok(true)
     }
@@ -148,11 +160,13 @@
     fn rotate(&mut self, covered: Index, restored: bool, entries: &[Entry]) -> Result<(), Error> {
         // On replay a torn frame is accepted only in the last segment.
         self.sync()?;
+        // A commit index that is still pending is part of the hard state written below.
+        self.pending = Batch::default();
         self.closed.push(ClosedSegment { number: self.number, last_index: self.last_index });
         self.number += 1;
         self.file = create_segment(&self.path, self.number)?;
         self.last_index = 0;
-        self.write_batch(&Batch { hard_state: Some(self.hard_state), entries: entries.to_vec() })?;
+        self.pending = Batch { hard_state: Some(self.hard_state), entries: entries.to_vec() };
         self.unsynced = true;
         self.sync()?;
         let needed = |c: &ClosedSegment| !restored && c.last_index > covered;
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -203,3 +203,47 @@
     assert_eq!(reopen(&open(tmp.path())).entries.len(), 2);
     assert_eq!(fs::metadata(&path).unwrap().len(), length);
 }
+
+/// Writes a log whose last synced entry is 3, then appends more without a sync: twice a commit index
+/// alone, then an entry. Returns the path of the open segment and its length at the sync.
+fn log_with_unsynced_tail(dir: &DataDir, path: &Path) -> (PathBuf, usize) {
+    let mut store = formed(dir);
+    write(&mut store, &entries(1..=3, 1));
+    let segment = segments(path).pop().unwrap();
+    let synced = fs::metadata(&segment).unwrap().len() as usize;
+    for commit in 1..=2 {
+        let hard_state = Some(HardState { term: 1, vote: Some(1), commit });
+        store.append(&Ready { hard_state, ..Ready::default() }).unwrap();
+    }
+    store.append(&entries(4..=4, 1)).unwrap();
+    // Nothing waits for this sync any more: the power is lost while it runs.
+    store.set_sync_fn(Box::new(|_| Ok(())));
+    store.sync().unwrap();
+    (segment, synced)
+}
+
+/// Guards against a host that never comes back after a power loss: of what was written since the
+/// last sync, any bytes may be missing while later ones are there.
+#[test]
+fn any_part_of_what_was_not_synced_may_be_missing() {
+    let tmp = tempfile::tempdir().unwrap();
+    let dir = open(tmp.path());
+    let (segment, synced) = log_with_unsynced_tail(&dir, tmp.path());
+    let whole = fs::read(&segment).unwrap();
+    assert!(whole.len() > synced, "nothing was written after the sync");
+    let others = segments(tmp.path());
+    for from in synced..whole.len() {
+        for to in from + 1..=whole.len() {
+            let mut torn = whole.clone();
+            torn[from..to].fill(0);
+            fs::write(&segment, torn).unwrap();
+            let restored = dir.open_group("g");
+            let (_, restored) = restored.unwrap_or_else(|e| panic!("{from} to {to} missing: {e}"));
+            let found = indexes(&restored.unwrap());
+            assert!(found.starts_with(&[(1, 1), (2, 1), (3, 1)]), "{from} to {to}: {found:?}");
+            for new in segments(tmp.path()).into_iter().filter(|path| !others.contains(path)) {
+                fs::remove_file(new).unwrap();
+            }
+        }
+    }
+}
