Send configurations as differences that yield to all other messages

Cause: the leader sent each version whole, with the operator's document, to every host on the ordered connection that also carries heartbeats, calls and advice, and again with each heartbeat of a host that did not have it yet. With 1,400 routes a version took 2.8 s on a link of 2 Mbit/s; the batch was not acknowledged within 0.9 s, the connection was closed with all that waited, and the next heartbeat sent it again.

Change: a host is sent the queues that changed since the version that it names, in parts of at most 8 KiB; a new outbox for each link sends parts only while nothing else waits, or after four batches; a later version waits until the host has reported the one on its way; the document stays with the group, whose members get versions through the log. A host that is behind the leader's version refuses with 503 instead of 404. Installing a configuration looks up queues by binary search. New metric: bytes sent by kind of message. The protocol version is 3.

--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -152,12 +152,14 @@
             for queue in &mut self.queues {
                 queue.open = false;
             }
+            let mut known: Vec<usize> = (0..self.queues.len()).collect();
+            known.sort_unstable_by(|a, b| self.queues[*a].address.cmp(&self.queues[*b].address));
             for (address, policy) in &configuration.queues {
                 let (address, policy) = (address.clone(), policy.clone());
                 let queue = Queue { address, policy, open: true };
-                match self.queues.iter_mut().find(|known| known.address == queue.address) {
-                    Some(known) => *known = queue,
-                    None => self.queues.push(queue),
+                match known.binary_search_by(|i| self.queues[*i].address.cmp(&queue.address)) {
+                    Ok(i) => self.queues[known[i]] = queue,
+                    Err(_) => self.queues.push(queue),
                 }
             }
             self.configuration = Arc::new(configuration);
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -207,7 +207,10 @@
 
     fn emit(&mut self, output: Output) {
         match output {
-            Output::Send(to, message) => self.links.send(&to, message),
+            Output::Send(to, message) => {
+                self.handle.metrics().count_sent(message.kind(), message.approx_size());
+                self.links.send(&to, message);
+            }
             Output::Answer(exchange, answer) => self.handle.deliver(exchange, answer),
             Output::Order(number, order) => (self.handlers.order)(number, *order),
             Output::Advise { number, step, workers, timeout } => {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
@@ -29,6 +30,7 @@
     orders: LatencyByKind,
     advice: Histogram,
     syncs: Histogram,
+    sent: Family<KindLabel, Counter>,
     gauges: Family<KindLabel, Gauge>,
     counts: Family<KindLabel, Gauge>,
     last_stats: Mutex<NodeStats>,
@@ -54,8 +56,11 @@
         registry.register_with_unit("sync", "Time to sync the log", s, syncs.clone());
         registry.register("now", "How this host stands, by kind", gauges.clone());
         registry.register("since_start", "Counts since the start, by kind", counts.clone());
+        let sent = Family::default();
+        let help = "Bytes queued for other hosts, by kind of message";
+        registry.register_with_unit("sent", help, Unit::Bytes, sent.clone());
         let last_stats = Mutex::default();
-        Metrics { registry, calls, orders, advice, syncs, gauges, counts, last_stats }
+        Metrics { registry, calls, orders, advice, syncs, sent, gauges, counts, last_stats }
     }
 
     /// Records the latency of a call.
@@ -73,6 +78,12 @@
         self.advice.observe(took.as_secs_f64());
     }
 
+    /// Counts a message of this kind and size that was queued for another host.
+    pub(crate) fn count_sent(&self, kind: &'static str, bytes: usize) {
+        let labels = KindLabel { kind: kind.to_string() };
+        self.sent.get_or_create(&labels).inc_by(bytes as u64);
+    }
+
     pub(crate) fn observe_sync(&self, took: Duration) {
         self.syncs.observe(took.as_secs_f64());
     }
--- a/crates/scheduler/src/gossip.rs
+++ b/crates/scheduler/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Discovery of the group and its leader, and distribution of configurations.
 
+use crate::config_changes::{ConfigurationPart, Received};
 use crate::io::Output;
 use crate::message::{HostHeartbeat, PeerMessage};
 use crate::node::Node;
@@ -17,6 +18,11 @@
 const LEADER_TIMEOUT: Duration = Duration::from_millis(700);
 /// A host heard within this time can call the advice service for the leader.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Parts of a configuration count as lost this long after they should have arrived.
+const PART_LOST_AFTER: Duration = Duration::from_millis(700);
+/// Rate at which parts of a configuration arrive at a host with the slowest supported link, half
+/// of which is left to them.
+const MIN_LINK_BYTES_PER_SECOND: f64 = 125_000.0;
 /// Limit on the remembered members of the group; real groups are smaller.
 const MAX_MEMBERS: usize = 64;
 
@@ -27,6 +33,9 @@
     version: Version,
     draining: bool,
     zone: ZoneName,
+    /// While parts of a configuration are on their way to the host, the time at which they count
+    /// as lost.
+    sending_until: Option<Timestamp>,
 }
 
 /// What this host knows of the group, its leader and other hosts.
@@ -40,6 +49,8 @@
     leader: Option<(Term, HostId)>,
     /// When the leader last confirmed that it leads; `None` if it must be looked for.
     leader_last_heard: Option<Timestamp>,
+    /// Highest version of the configuration that a leader has reported as in force.
+    leader_version: Version,
     /// When the last leader was lost; `None` while one is known.
     leaderless_since: Option<Timestamp>,
     /// Hosts that have sent heartbeats to this one.
@@ -55,6 +66,7 @@
             seeds: seeds.to_vec(),
             leader: None,
             leader_last_heard: None,
+            leader_version: 0,
             leaderless_since: None,
             by_host: SortedMap::default(),
             next_heartbeat: Timestamp::ZERO,
@@ -99,6 +111,11 @@
         self.leader_last_heard = None;
     }
 
+    /// Whether a host with this version of the configuration is behind the leader.
+    pub(crate) fn is_behind(&self, version: Version) -> bool {
+        version < self.leader_version
+    }
+
     pub(crate) fn leader_heard_within(&self, now: Timestamp, span: Duration) -> bool {
         self.leader_last_heard.is_some_and(|at| now < at + span)
     }
@@ -152,7 +169,7 @@
             M::HeartbeatResponse { leader, members, leads, version } => {
                 self.on_heartbeat_response(&from, leader, members, leads, version)
             }
-            M::Configuration(configuration) => self.apply_configuration(configuration),
+            M::Configuration(part) => self.on_configuration_part(*part),
             M::EmptyStore { member, bootstrap } => self.on_empty_store(&from, member, bootstrap),
             M::SeekLeader(member) => self.on_seek_leader(&from, member),
             M::FormGroup(config) => self.on_form_group(config),
@@ -190,7 +207,7 @@
         }
         let heartbeat = PeerMessage::Heartbeat(HostHeartbeat {
             process: self.process,
-            version: self.configuration.version,
+            version: if self.ask_for_whole_configuration { 0 } else { self.configuration.version },
             draining: self.draining,
             zone: self.cfg.zone.clone(),
         });
@@ -227,21 +244,20 @@
 
     fn on_host_heartbeat(&mut self, from: &HostId, heartbeat: HostHeartbeat) {
         let HostHeartbeat { version, draining, zone, .. } = heartbeat;
-        let peer = Peer { last_heard: self.now, version, draining, zone };
+        let known = self.peers.by_host.get(from);
+        let sending_until = known.filter(|p| p.version == version).and_then(|p| p.sending_until);
+        let peer = Peer { last_heard: self.now, version, draining, zone, sending_until };
         self.peers.by_host.insert(from.clone(), peer);
         let Some(group) = &self.group else { return };
         let leader = group.raft.leader_host().map(|host| (group.raft.term(), host.clone()));
         let members = group.raft.config().members().iter().map(|m| m.host.clone()).collect();
         let leads = group.leads();
         let in_force = group.state.configuration().version;
-        let configuration = group.state.configuration().clone();
         self.send(
             from,
             PeerMessage::HeartbeatResponse { leader, members, leads, version: in_force },
         );
-        if leads && version < in_force {
-            self.send(from, PeerMessage::Configuration(configuration));
-        }
+        self.offer_configuration(from);
     }
 
     fn on_heartbeat_response(
@@ -267,6 +283,7 @@
                 self.retry_calls_now();
             }
             self.peers.leader_last_heard = Some(self.now);
+            self.peers.leader_version = self.peers.leader_version.max(version);
             self.peers.update_leaderless(self.now, true);
         }
     }
@@ -278,17 +295,58 @@
         }
         log::info!(version = configuration.version, queues = configuration.queues.len();
             "configuration in force");
+        self.ask_for_whole_configuration = false;
         self.configuration = configuration;
         self.out.push(Output::Configured(self.configuration.clone()));
     }
 
-    /// Sends the configuration to all hosts known to have an older one.
-    pub(crate) fn broadcast_configuration(&mut self) {
-        let configuration = self.configuration.clone();
-        let outdated = self.peers.by_host.iter().filter(|(_, p)| p.version < configuration.version);
-        let outdated: Vec<HostId> = outdated.map(|(host, _)| host.clone()).collect();
-        for host in outdated {
-            self.send(&host, PeerMessage::Configuration(configuration.clone()));
+    /// Sends the leader's configuration to all hosts known to have an older one.
+    pub(crate) fn offer_configuration_to_all(&mut self) {
+        let hosts: Vec<HostId> = self.peers.by_host.keys().cloned().collect();
+        for host in hosts {
+            self.offer_configuration(&host);
+        }
+    }
+
+    /// Sends a host what it lacks of the leader's configuration, unless an earlier version is still
+    /// on its way there: the rest follows once the host reports that one. Members of the group get
+    /// configurations through the log.
+    fn offer_configuration(&mut self, to: &HostId) {
+        let now = self.now;
+        let Some(group) = self.group.as_ref().filter(|group| group.leads()) else { return };
+        let configuration = group.state.configuration();
+        let is_member = group.raft.config().members().iter().any(|member| member.host == *to);
+        let Some(peer) = self.peers.by_host.get_mut(to).filter(|_| !is_member) else { return };
+        let on_its_way = peer.sending_until.is_some_and(|until| now < until);
+        if on_its_way || peer.version >= configuration.version {
+            return;
+        }
+        let parts = self.config_changes.parts(configuration, peer.version);
+        let bytes: usize = parts.iter().map(ConfigurationPart::approx_size).sum();
+        let transfer = Duration::from_secs_f64(bytes as f64 / MIN_LINK_BYTES_PER_SECOND);
+        peer.sending_until = Some(now + PART_LOST_AFTER + transfer);
+        for part in parts {
+            self.send(to, PeerMessage::Configuration(Box::new(part)));
+        }
+    }
+
+    /// Collects a part of a newer configuration, and puts the configuration into force with the
+    /// last one.
+    fn on_configuration_part(&mut self, part: ConfigurationPart) {
+        let version = part.version;
+        match self.incoming_configuration.receive(part, &self.configuration) {
+            Received::Incomplete => {}
+            Received::Complete(configuration) => {
+                self.apply_configuration(Arc::new(*configuration));
+                // Tells the leader at once, which may have a newer one.
+                self.peers.next_heartbeat = self.now;
+            }
+            Received::Mismatch => {
+                log::error!(version = version, base = self.configuration.version;
+                    "configuration does not result from the parts received, asking for all of it");
+                self.ask_for_whole_configuration = true;
+                self.peers.next_heartbeat = self.now;
+            }
         }
     }
 
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -223,6 +223,7 @@
         for waiter in into_values(waiters) {
             self.cancel_waiter(waiter.on_applied);
         }
+        self.config_changes.reset(configuration.version);
         self.apply_configuration(configuration);
     }
 
@@ -234,7 +235,11 @@
         };
         let command: Command =
             postcard::from_bytes(&data).expect("log entries were encoded by this program");
+        let before = group.state.configuration().clone();
         let (reply, effects) = group.state.apply(command);
+        if effects.contains(&Effect::Configured) {
+            self.config_changes.record(&before, group.state.configuration());
+        }
         self.apply_effects(&effects);
         let Some(waiter) = waiter else { return };
         if waiter.term != entry.term {
@@ -265,9 +270,7 @@
                 self.group.as_ref().map(|group| group.state.configuration().clone());
             if let Some(configuration) = configuration {
                 self.apply_configuration(configuration);
-                if self.leads() {
-                    self.broadcast_configuration();
-                }
+                self.offer_configuration_to_all();
             }
         }
         let now = self.now;
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -1,17 +1,16 @@
 //! Messages between hosts.
 
 use crate::call::{Answer, Call};
+use crate::config_changes::ConfigurationPart;
 use crate::io::OrderEnvelope;
 use consensus::{Config, Entry, Envelope, Message, Payload, Term};
 use dispatch::OrderAnswer;
-use jobs::Configuration;
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
 use std::time::Duration;
 use types::{HostId, MemberId, Refusal, Version, WorkerId, ZoneName};
 
 /// Version of the protocol between hosts, exchanged when a connection opens.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// Heartbeat that a host sends to the leader, or to all known members and seeds while it knows no
 /// leader.
@@ -45,8 +44,8 @@
         /// Version of the configuration in the sender's replicated state.
         version: Version,
     },
-    /// The configuration in force.
-    Configuration(Arc<Configuration>),
+    /// A part of what the receiver lacks of the configuration in force.
+    Configuration(Box<ConfigurationPart>),
     /// The sender's data directory holds nothing of the group.
     EmptyStore {
         /// Identity of the data directory.
@@ -117,6 +116,29 @@
 }
 
 impl PeerMessage {
+    /// Whether the message yields to others on the link.
+    pub fn is_bulk(&self) -> bool {
+        matches!(self, PeerMessage::Configuration(_))
+    }
+
+    /// Name of the kind of message in metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            PeerMessage::Raft(_) => "log",
+            PeerMessage::Heartbeat(_) | PeerMessage::HeartbeatResponse { .. } => "heartbeat",
+            PeerMessage::Configuration(_) => "configuration",
+            PeerMessage::EmptyStore { .. }
+            | PeerMessage::SeekLeader(_)
+            | PeerMessage::FormGroup(_)
+            | PeerMessage::JoinGroup => "membership",
+            PeerMessage::Call { .. }
+            | PeerMessage::Answer { .. }
+            | PeerMessage::NotLeader { .. } => "call",
+            PeerMessage::Order { .. } | PeerMessage::OrderAnswered { .. } => "order",
+            PeerMessage::Advise { .. } | PeerMessage::Advised { .. } => "advice",
+        }
+    }
+
     /// Approximate memory in bytes that the message takes while it is queued for sending.
     pub fn approx_size(&self) -> usize {
         const BASE: usize = 256;
@@ -126,7 +148,7 @@
                 Message::Install { data, .. } => data.len(),
                 _ => 0,
             },
-            PeerMessage::Configuration(configuration) => configuration.document.len() * 2,
+            PeerMessage::Configuration(part) => part.approx_size(),
             PeerMessage::Order { envelope, .. } => envelope.spec.as_ref().map_or(0, String::len),
             PeerMessage::Call { call, .. } => match &**call {
                 Call::Submit { request, .. } => request.spec.len(),
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::OpenCall;
 use crate::config::{NodeConfig, StartState};
+use crate::config_changes::{ChangeLog, IncomingConfiguration};
 use crate::follower_reads::FollowerReads;
 use crate::gossip::PeerTable;
 use crate::group::Group;
@@ -92,6 +93,12 @@
     pub(crate) last_forwarded_order: u64,
     /// The configuration in force on this host.
     pub(crate) configuration: Arc<Configuration>,
+    /// Changes of the configuration that this member has applied from the log.
+    pub(crate) config_changes: ChangeLog,
+    /// Parts of a newer configuration that this host has received.
+    pub(crate) incoming_configuration: IncomingConfiguration,
+    /// A difference did not lead to the leader's configuration, so all of it is needed.
+    pub(crate) ask_for_whole_configuration: bool,
     pub(crate) draining: bool,
     /// Outputs that [`Node::finish`] returns next.
     pub(crate) out: Vec<Output>,
@@ -123,6 +130,9 @@
             forwarded_orders: SortedMap::default(),
             last_forwarded_order: 0,
             configuration: Arc::default(),
+            config_changes: ChangeLog::default(),
+            incoming_configuration: IncomingConfiguration::default(),
+            ask_for_whole_configuration: false,
             draining: false,
             out: Vec::new(),
             stats: NodeStats::default(),
@@ -153,6 +163,7 @@
         let group = Group::new(raft);
         self.forming = None;
         self.configuration = group.state.configuration().clone();
+        self.config_changes.reset(self.configuration.version);
         if self.configuration.version > 0 {
             self.out.push(Output::Configured(self.configuration.clone()));
         }
@@ -294,10 +305,11 @@
         self.draining && self.calls.is_empty() && !leads
     }
 
-    /// Whether this host leads or has heard the leader in the last 2 s, so that its configuration
-    /// is recent.
+    /// Whether the configuration of this host is recent: it leads, or has heard the leader in the
+    /// last 2 s and knows of no newer one.
     pub fn has_recent_configuration(&self) -> bool {
-        self.leads() || self.peers.leader_heard_within(self.now, Duration::from_secs(2))
+        let heard = self.peers.leader_heard_within(self.now, Duration::from_secs(2));
+        self.leads() || (heard && !self.peers.is_behind(self.configuration.version))
     }
 
     /// Current counters and gauges.
