--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -40,10 +40,8 @@
         now: Timestamp,
     ) -> Option<AdviceCall> {
         let advice = state.policy(state.job(step.job)?.queue).advice?;
-        let known = self.advice.step(step);
-        let nothing_new =
-            known.is_some_and(|known| known.is_pending() || known.asked() >= workers.len());
-        if nothing_new || !self.advice.has_caller(&advice, now) {
+        let pending = self.advice.step(step).is_some_and(|known| known.is_pending());
+        if pending || !self.advice.has_caller(&advice, now) {
             return None;
         }
         let wanted = self.wanted_slots(state, step, workers, now)?;
