--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -4,6 +4,9 @@
 use jobs::{JobRequest, ResourceVector, StepSpec};
 use std::time::Duration;
 
+/// Jobs arrive after this time, when the leader knows all workers.
+pub(crate) const WARMUP: Duration = Duration::from_secs(5);
+
 /// A period in which jobs arrive in a queue at a higher rate.
 #[derive(Clone, Copy, Debug)]
 pub struct Burst {
--- a/crates/emulator/src/orders.rs
+++ b/crates/emulator/src/orders.rs
@@ -1,6 +1,7 @@
 //! How emulated workers carry out orders.
 
-use crate::simulation::{worker_index, Event, Simulation, NETWORK_DELAY, WARMUP, ZONES};
+use crate::load::WARMUP;
+use crate::simulation::{worker_index, Event, Simulation, NETWORK_DELAY, ZONES};
 use crate::worker::ActiveRun;
 use dispatch::{Order, OrderAnswer, RefusalReason};
 use jobs::{EndKind, RunNumber, StepRef, TaskRef};
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -2,7 +2,7 @@
 //! hosts and the network.
 
 use crate::advice::{is_eligible, AdviceService};
-use crate::load::{arrivals, Arrival, Disturbances, ZonePartition};
+use crate::load::{arrivals, Arrival, Disturbances, ZonePartition, WARMUP};
 use crate::scenario::Scenario;
 use crate::summary::{summarize, JobTimes, Summary};
 use crate::worker::Worker;
@@ -25,8 +25,6 @@
 pub(crate) const NETWORK_DELAY: Duration = Duration::from_micros(700);
 const HOST_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 const WORKER_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
-/// Jobs arrive after this time, when the leader knows all workers.
-pub(crate) const WARMUP: Duration = Duration::from_secs(5);
 /// Number of zones; workers are assigned to them round robin.
 pub(crate) const ZONES: usize = 3;
 
--- a/crates/emulator/src/summary.rs
+++ b/crates/emulator/src/summary.rs
@@ -1,8 +1,7 @@
 //! Results of a simulation.
 
-use crate::load::Arrival;
+use crate::load::{Arrival, WARMUP};
 use crate::scenario::Scenario;
-use crate::simulation::WARMUP;
 use std::time::Duration;
 
 /// A late job still has value up to this multiple of its objective; after that it is worth
