Say which members vote, and which of them are heard

A change of the members was logged when it was proposed, with counts, and a member without a leader didn't say whose votes it lacks.

Change: each member logs the membership once it is in force (voters and learners by host). A member that has known no leader for 2 s says every 5 s who votes and who of them is heard. The metrics have the gauges voters and live_voters. No decision changes.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -102,6 +102,8 @@
         for (kind, value) in [
             ("leads", u64::from(stats.leads)),
             ("term", stats.term),
+            ("voters", stats.voters as u64),
+            ("live_voters", stats.live_voters as u64),
             ("configuration_version", stats.version),
             ("open_calls", stats.open_calls as u64),
             ("open_jobs", stats.open_jobs as u64),
--- a/crates/scheduler/src/gossip.rs
+++ b/crates/scheduler/src/gossip.rs
@@ -1,9 +1,10 @@
 //! Discovery of the group and its leader.
 
+use crate::group::host_list;
 use crate::io::Output;
 use crate::message::{HostHeartbeat, PeerMessage};
 use crate::node::Node;
-use consensus::{Config, Term, ANNOUNCE_INTERVAL};
+use consensus::{Config, Role, Term, ANNOUNCE_INTERVAL};
 use std::time::Duration;
 use types::{HostId, MemberId, SortedMap, Timestamp, Version, ZoneName};
 
@@ -17,6 +18,10 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// A member that answered the leader within this time gets reads: three heartbeats of the log.
 const RESPONSIVE_WITHIN: Duration = Duration::from_millis(300);
+/// A group without a leader is reported after this time: elections take less.
+const LEADERLESS_REPORT_AFTER: Duration = Duration::from_secs(2);
+/// Interval at which a member reports that the group has no leader.
+const LEADERLESS_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// Limit on the remembered members of the group; real groups are smaller.
 const MAX_MEMBERS: usize = 64;
 
@@ -49,6 +54,8 @@
     leader_version: Version,
     /// When the last leader was lost; `None` while one is known.
     leaderless_since: Option<Timestamp>,
+    /// When a missing leader may be reported again.
+    next_leaderless_report: Timestamp,
     /// Hosts that have sent heartbeats to this one.
     pub(crate) by_host: SortedMap<HostId, Peer>,
     /// When the next heartbeat is due.
@@ -65,6 +72,7 @@
             leader_last_heard: None,
             leader_version: 0,
             leaderless_since: None,
+            next_leaderless_report: Timestamp::ZERO,
             by_host: SortedMap::default(),
             next_heartbeat: Timestamp::ZERO,
         }
@@ -227,6 +235,7 @@
         if self.peers.update_leaderless(now, known) {
             log::warn!(version = self.configuration.version; "no leader is known any more");
         }
+        self.report_missing_leader();
         match self.peers.live_leader(now) {
             Some(leader) => {
                 self.peers.next_heartbeat = now + HEARTBEAT_INTERVAL;
@@ -242,6 +251,24 @@
         }
     }
 
+    /// Logs at intervals whose votes an election needs, and which of these hosts this one hears.
+    fn report_missing_leader(&mut self) {
+        let now = self.now;
+        let due = now >= self.peers.next_leaderless_report;
+        if !due || self.peers.leaderless_for(now) < LEADERLESS_REPORT_AFTER {
+            return;
+        }
+        let Some(group) = &self.group else { return };
+        self.peers.next_leaderless_report = now + LEADERLESS_REPORT_INTERVAL;
+        let heard = self.peers.heard_within(now, PEER_TIMEOUT);
+        let heard: Vec<&str> = heard.iter().map(|(host, _)| host.as_str()).collect();
+        let config = group.raft.config();
+        log::warn!(term = group.raft.term(), last = group.raft.last_index(),
+            voters = host_list(config, |role| role != Role::Learner).as_str(),
+            learners = host_list(config, |role| role == Role::Learner).as_str(),
+            heard = heard.join(" ").as_str(); "the group has no leader");
+    }
+
     fn on_host_heartbeat(&mut self, from: &HostId, heartbeat: HostHeartbeat) {
         let HostHeartbeat { version, draining, zone, .. } = heartbeat;
         let known = self.peers.by_host.get(from);
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -6,7 +6,7 @@
 use crate::leader::Leader;
 use crate::message::PeerMessage;
 use crate::node::Node;
-use consensus::{Entry, Index, Payload, Raft, Ready, Term};
+use consensus::{Config, Entry, Index, Payload, Raft, Ready, Role, Term};
 use jobs::{Command, Effect, Reply, State};
 use types::{HostId, MemberId, Refusal, RefusalKind, SortedMap};
 
@@ -230,8 +230,9 @@
     fn apply_entry(&mut self, entry: Entry) {
         let Some(group) = &mut self.group else { return };
         let waiter = group.waiters.remove(&entry.index);
-        let Payload::Command(data) = entry.payload else {
-            return;
+        let data = match entry.payload {
+            Payload::Command(data) => data,
+            Payload::Config(config) => return log_membership(&config, entry.index),
         };
         let command: Command =
             postcard::from_bytes(&data).expect("log entries were encoded by this program");
@@ -297,6 +298,22 @@
     }
 }
 
+/// Logs a membership that is committed. The first entry of each term repeats the current one.
+fn log_membership(config: &Config, index: Index) {
+    log::info!(index = index, voters = host_list(config, |role| role != Role::Learner).as_str(),
+        learners = host_list(config, |role| role == Role::Learner).as_str();
+        "membership in force");
+}
+
+/// Hosts of the members whose role `f` selects, separated by spaces.
+pub(crate) fn host_list<F>(config: &Config, f: F) -> String
+where
+    F: Fn(Role) -> bool,
+{
+    let members = config.members().iter().filter(|member| f(member.role));
+    members.map(|member| member.host.as_str()).collect::<Vec<_>>().join(" ")
+}
+
 fn answer_from_reply(reply: Reply) -> Result<Answer, Refusal> {
     match reply {
         Reply::Done => Ok(Answer::Done),
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -7,6 +7,7 @@
 use crate::gossip::PeerTable;
 use crate::group::Group;
 use crate::io::{Input, Output};
+use crate::reconfigure::live_voters;
 use consensus::{Config, GroupFormation, InitialMember, JoinRequests, Raft, Restored, Role, Term};
 use jobs::Configuration;
 use std::sync::Arc;
@@ -30,6 +31,10 @@
     pub leads: bool,
     /// Current term of the group's log; 0 on hosts that are not members.
     pub term: Term,
+    /// Members of the group whose votes count; 0 on hosts that are not members.
+    pub voters: usize,
+    /// Those of them that this host has heard from lately, itself included; only on the leader.
+    pub live_voters: usize,
     /// Version of the configuration in force on this host.
     pub version: u64,
     /// Client calls of this host that wait for an answer.
@@ -320,6 +325,10 @@
         stats.open_calls = self.calls.len();
         if let Some(group) = &self.group {
             stats.term = group.raft.term();
+            stats.voters = group.raft.config().voters().count();
+            if stats.leads {
+                stats.live_voters = live_voters(&group.raft, self.now);
+            }
             stats.open_jobs = group.state.jobs().filter(|job| !job.phase.is_over()).count();
             stats.workers = group.state.lives().count();
             if let Some(leader) = &group.leader {
--- a/crates/scheduler/src/reconfigure.rs
+++ b/crates/scheduler/src/reconfigure.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use consensus::{Config, Raft, Role};
 use std::time::Duration;
-use types::{HostId, Timestamp};
+use types::{HostId, MemberId, Timestamp};
 
 /// A voter that was silent for this long is removed if enough live voters remain.
 const SILENT_VOTER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -65,13 +65,20 @@
 /// voter may come back.
 fn without_silent_voter(raft: &Raft, now: Timestamp) -> Option<Config> {
     let config = raft.config();
-    let heard = |id| if id == raft.id() { Some(now) } else { raft.last_response(id) };
-    let live = config
-        .voters()
-        .filter(|id| heard(*id).is_some_and(|at| now < at + VOTER_LIVE_WITHIN))
-        .count();
-    let silent =
-        config.voters().find(|id| heard(*id).is_some_and(|at| now > at + SILENT_VOTER_TIMEOUT));
-    let silent = silent.filter(|_| live >= MIN_LIVE_VOTERS)?;
+    let is_silent = |id: &MemberId| {
+        let heard = raft.last_response(*id);
+        *id != raft.id() && heard.is_some_and(|at| now > at + SILENT_VOTER_TIMEOUT)
+    };
+    let silent = config.voters().find(is_silent);
+    let silent = silent.filter(|_| live_voters(raft, now) >= MIN_LIVE_VOTERS)?;
     Some(config.without(silent))
 }
+
+/// Number of voters that answered this leader within [`VOTER_LIVE_WITHIN`], itself included.
+pub(crate) fn live_voters(raft: &Raft, now: Timestamp) -> usize {
+    let is_live = |id: &MemberId| {
+        let heard = raft.last_response(*id);
+        *id == raft.id() || heard.is_some_and(|at| now < at + VOTER_LIVE_WITHIN)
+    };
+    raft.config().voters().filter(is_live).count()
+}
