Add a failing test: a dead vote outlives the replacement of its host

On this code the second loss leaves the group without a leader for ever:

no leader after 4 replaced 0: host 1 ... term 2, commit 16, voters [4]; host 3 ... term 2, commit 16, voters [4]; host 0 is down; host 2 is down

--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -306,6 +306,34 @@
     assert!(world.leader_of(&[2, 3]).is_some(), "no leader after one more loss");
 }
 
+/// Guards against a dead host whose vote outlives the time in which its successor catches up.
+#[test]
+fn the_next_host_may_be_lost_once_a_replacement_has_caught_up() {
+    let mut world = World::new(26, InjectedBug::None);
+    world.configure(1);
+    world.run_until(6_000);
+    let job = world.submit();
+    world.run_until(8_000);
+    assert!(world.jobs[&job].accepted, "the job is not accepted: the test is meaningless");
+    let mut members: Vec<usize> = (0..DISKS).collect();
+    for new in DISKS..HOSTS {
+        let lost = world.leader_of(&members).expect("a leader");
+        world.kill(lost);
+        world.kill(new);
+        world.run_until(world.now + 1_000);
+        world.replace(lost, new);
+        members.retain(|i| *i != lost);
+        members.push(new);
+        world.run_until(world.now + CATCH_UP_PERIOD);
+        let leader = world.leader_of(&members);
+        assert!(leader.is_some(), "no leader after {new} replaced {lost}: {}", world.describe());
+    }
+    world.run_until(world.now + 3_000);
+    world.ask(job);
+    world.run_until(world.now + 1_000);
+    assert!(world.jobs[&job].shown.is_some(), "nobody knows the job: {}", world.describe());
+}
+
 /// Guards against stale reads: while the leader is frozen, followers answer from their copies only
 /// for finished jobs. They leave the rest to the leader, which may have accepted a job they don't
 /// know.
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -115,6 +115,8 @@
     last_event: usize,
     /// Hosts with a disk besides the first `DISKS`.
     pub(crate) extra_disks: BTreeSet<usize>,
+    /// Hosts that the settings of hosts name as seeds.
+    seeds: Vec<usize>,
     /// Hosts that are cut off from the others.
     pub(crate) cut: BTreeSet<usize>,
     /// Workers that no host can reach.
@@ -204,6 +206,7 @@
             queued: BTreeMap::new(),
             last_event: 0,
             extra_disks: BTreeSet::new(),
+            seeds: (0..DISKS).collect(),
             cut: BTreeSet::new(),
             cut_workers: BTreeSet::new(),
             late_orders: 0,
@@ -235,7 +238,7 @@
     pub(crate) fn start(&mut self, i: usize, bootstrap: bool) {
         let disk = i < DISKS || self.extra_disks.contains(&i);
         let cfg = NodeConfigBuilder::new(ip(i))
-            .seeds((0..DISKS).map(ip).collect())
+            .seeds(self.seeds.iter().copied().map(ip).collect())
             .bootstrap(bootstrap)
             .disk(disk)
             .entries_per_snapshot(200)
@@ -260,6 +263,18 @@
         self.after(0, Event::Wake(i, process));
     }
 
+    /// Starts a host with an empty disk in place of one that is gone for good. The settings of all
+    /// hosts name it as a seed instead.
+    pub(crate) fn replace(&mut self, gone: usize, new: usize) {
+        self.extra_disks.insert(new);
+        self.seeds.iter_mut().filter(|seed| **seed == gone).for_each(|seed| *seed = new);
+        self.start(new, false);
+        let seeds: Vec<String> = self.seeds.iter().copied().map(ip).collect();
+        for i in (0..HOSTS).filter(|i| self.is_up(*i)).collect::<Vec<_>>() {
+            self.input(i, Input::Seeds(seeds.clone()));
+        }
+    }
+
     pub(crate) fn kill(&mut self, i: usize) {
         eprintln!("{} kill h{i} leader {:?}", self.now, self.leader());
         self.hosts[i].node = None;
