Remove learners that are gone from the membership

Seen by operators: a host that joined beyond the wanted number of voters and was lost for good stayed a member for ever. The leader goes on sending it the log, and hosts without a leader look for one there.

Only voters were removed, and a host at another address supersedes nothing.

Change: a learner that is silent for 8 s is removed, after anything else that the membership needs. It asks to join again when it is back.

--- a/crates/scheduler/src/reconfigure.rs
+++ b/crates/scheduler/src/reconfigure.rs
@@ -14,9 +14,9 @@
 /// A voter that was silent for this long gives its vote to another host. A link between live hosts
 /// that breaks is replaced in less: 0.9 s until it is noticed and 0.8 s to connect again.
 const SILENT_VOTER_TIMEOUT: Duration = Duration::from_secs(2);
-/// A voter that was silent for this long is removed even if the group tolerates no more losses
-/// without it.
-const GONE_VOTER_TIMEOUT: Duration = Duration::from_secs(8);
+/// A member that was silent for this long is removed even if the group tolerates no more losses
+/// without it. Should it come back, it asks to join again.
+const GONE_MEMBER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Minimum number of live voters for the removal of a silent one.
 const MIN_LIVE_VOTERS: usize = 3;
 /// A member heard within this time counts as live.
@@ -31,7 +31,8 @@
         let is_draining = |host: &HostId| self.peers.is_draining(host, now);
         let leaving = leaving_voter(raft, is_draining, now);
         let change = without_leaving_voter(raft, leaving, is_draining, now)
-            .or_else(|| self.next_join(leaving.is_some()));
+            .or_else(|| self.next_join(leaving.is_some()))
+            .or_else(|| without_gone_learner(raft, now));
         let Some(next) = change.filter(|next| next != raft.config()) else { return };
         let voters = host_list(&next, |role| role != Role::Learner);
         let learners = host_list(&next, |role| role == Role::Learner);
@@ -119,11 +120,19 @@
         return None;
     }
     let is_even = config.voters().count().is_multiple_of(2);
-    let is_gone = |id: &MemberId| is_silent(raft, *id, GONE_VOTER_TIMEOUT, now);
+    let is_gone = |id: &MemberId| is_silent(raft, *id, GONE_MEMBER_TIMEOUT, now);
     let removed = leaving.filter(|_| is_even).or_else(|| config.voters().find(is_gone))?;
     Some(config.without(removed))
 }
 
+/// The membership without a learner that is gone; `None` if there is none.
+fn without_gone_learner(raft: &Raft, now: Timestamp) -> Option<Config> {
+    let config = raft.config();
+    let mut learners = config.members().iter().filter(|m| m.role == Role::Learner);
+    let gone = learners.find(|m| is_silent(raft, m.id, GONE_MEMBER_TIMEOUT, now))?;
+    Some(config.without(gone.id))
+}
+
 /// Whether another member has not answered this leader for this long.
 fn is_silent(raft: &Raft, id: MemberId, span: Duration, now: Timestamp) -> bool {
     id != raft.id() && raft.last_response(id).is_some_and(|at| now > at + span)
--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -334,6 +334,28 @@
     assert!(world.jobs[&job].shown.is_some(), "nobody knows the job: {}", world.describe());
 }
 
+/// Guards against a membership that grows with every host that was a learner and is gone for good.
+#[test]
+fn a_learner_that_is_gone_for_good_leaves_the_membership() {
+    let mut world = World::new(28, InjectedBug::None);
+    world.configure(1);
+    world.run_until(6_000);
+    for new in DISKS..HOSTS {
+        world.kill(new);
+        world.extra_disks.insert(new);
+        world.start(new, false);
+        world.run_until(world.now + 3_000);
+    }
+    let hosts: Vec<usize> = (0..HOSTS).collect();
+    let members = world.group_members(world.leader_of(&hosts).expect("a leader"));
+    let learner = members.iter().find(|(_, role)| *role == Role::Learner);
+    let (learner, _) = learner.unwrap_or_else(|| panic!("no learner: {members:?}"));
+    world.kill((0..HOSTS).find(|i| world::ip(*i) == *learner).expect("a host of the world"));
+    world.run_until(world.now + 15_000);
+    let members = world.group_members(world.leader_of(&hosts).expect("a leader"));
+    assert!(members.iter().all(|(host, _)| host != learner), "{learner} stays in {members:?}");
+}
+
 /// Guards against a vote that a host keeps after it was stopped and its successor was there before.
 #[test]
 fn the_next_host_may_be_lost_after_a_planned_replacement() {
