Keep an odd number of votes at members that are there, spread over zones

- A host is added beside another of its zone, and the zone is cut off: two of four votes are left.
- The successor of a lost host has just got its vote and loses its disk: two of four again.
- Two of five voters are gone and no member is spare: both keep their votes for 8 s, as the removal of one of them gains nothing, and the next loss leaves two of five.

Cause: votes were given and taken by two rules that knew nothing of each other, up to five, whatever the group bears with that number. A new vote came before the old one went.

Change: one pure function decides (scheduler::votes). The number of votes is odd; a voter that leaves loses its vote first, then a spare member gets one, that of the zone with the fewest votes; a zone with half of the votes gives one up; other members wait as learners. A voter that leaves becomes a learner, so that it hears of it, and is removed after 8 s of silence.

--- a/crates/consensus/src/join_requests.rs
+++ b/crates/consensus/src/join_requests.rs
@@ -7,7 +7,7 @@
 /// How long a join request stays valid.
 const REQUEST_VALID: Duration = Duration::from_secs(10);
 /// A learner that lacks at most this many entries has caught up and may be promoted.
-const CAUGHT_UP_ENTRIES: u64 = 64;
+pub const CAUGHT_UP_ENTRIES: u64 = 64;
 
 /// Members that asked to join the group, by host.
 #[derive(Debug, Default)]
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -37,7 +37,7 @@
 
 pub use config::{Config, Member, Role};
 pub use group_formation::{GroupFormation, InitialMember, ANNOUNCE_INTERVAL};
-pub use join_requests::JoinRequests;
+pub use join_requests::{JoinRequests, CAUGHT_UP_ENTRIES};
 pub use log::Restored;
 pub use message::{Entry, Envelope, HardState, Index, Message, Payload, Ready, Snapshot, Term};
 pub use raft::{ProposeError, Raft};
--- a/crates/scheduler/src/gossip.rs
+++ b/crates/scheduler/src/gossip.rs
@@ -31,7 +31,7 @@
     last_heard: Timestamp,
     pub(crate) version: Version,
     draining: bool,
-    zone: ZoneName,
+    pub(crate) zone: ZoneName,
     /// While parts of a configuration are on their way to the host, the time at which they count
     /// as lost.
     pub(crate) sending_until: Option<Timestamp>,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -42,6 +42,7 @@
 mod outbox;
 mod planning;
 mod reconfigure;
+mod votes;
 mod worker_restart;
 mod zones;
 
@@ -52,3 +53,4 @@
 pub use message::{HostHeartbeat, PeerMessage, PROTOCOL_VERSION};
 pub use node::{Node, NodeStats};
 pub use outbox::Outbox;
+pub use votes::{next_vote_change, MemberView, VoteChange};
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -280,6 +280,18 @@
         self.input(i, Input::Drain);
     }
 
+    /// Whether the process of a host would end by itself after [`World::drain`].
+    #[allow(dead_code)]
+    pub(crate) fn is_drained(&self, i: usize) -> bool {
+        self.hosts[i].node.as_ref().is_none_or(Node::is_drained)
+    }
+
+    /// Whether the state of a host holds a job.
+    #[allow(dead_code)]
+    pub(crate) fn has_job(&self, i: usize, job: JobId) -> bool {
+        self.hosts[i].node.as_ref().is_some_and(|node| node.has_job(job))
+    }
+
     pub(crate) fn kill(&mut self, i: usize) {
         eprintln!("{} kill h{i} leader {:?}", self.now, self.leader());
         self.hosts[i].node = None;
