Replace hosts in the random histories

Why: the histories never replaced a host with a disk by another one at a new address, so they missed a group that is left without a majority by the next loss.

What: a second kind of random histories. Hosts with a disk are lost for good, and an empty one starts 1 s later at a new address; or the new one starts first, and the old one is drained and gone once the new one has had its catch-up time. The seeds in the settings follow up to 5 s later. The leader, the newest host or any other is hit, in series, half of the time at the very moment at which the next loss is to be borne. A third of the histories has six hosts with a disk and two losses at once, a third has overlapping cuts, freezes and kills as before. All histories now fail if no leader is there touchMs (3 s) after the last disruption while no more than the tolerated hosts are lost (recoverS, 12 s, after more), and lose one more host at the end, after which all accepted jobs must be known. Failures list all seeds.

--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -1,6 +1,9 @@
 //! Runs random fault histories of a simulated cell against an oracle. Faults are killed, frozen and
-//! partitioned hosts, wiped disks, crashed and unreachable workers, and orders that are carried out
-//! late.
+//! partitioned hosts, wiped disks, hosts that are replaced by others at new addresses, crashed and
+//! unreachable workers, and orders that are carried out late.
+//!
+//! Hosts keep their addresses in some histories and are replaced in others, as many at once as are
+//! to be borne.
 //!
 //! `EBONYWALK_HISTORIES` and `EBONYWALK_SEED` set the number of histories and the first seed.
 
@@ -9,23 +12,77 @@
 use consensus::Role;
 use dispatch::InjectedBug;
 use jobs::Phase;
+use world::losses::{Losses, Tolerance, TOUCH_TIME};
+use world::replacements::Replacements;
 use world::{World, DISKS, HOSTS, WORKERS};
 
 const DEFAULT_HISTORIES: u64 = 40;
+const DEFAULT_REPLACED_HISTORIES: u64 = 21;
 const DEFAULT_SEED: u64 = 31;
 /// Length of the part of a history with faults, in milliseconds.
 const FAULT_PERIOD: u64 = 40_000;
 /// All accepted jobs must finish within this time after the last fault, in milliseconds. It covers
 /// leases of 6 s and the work of a full queue.
 const SETTLE_PERIOD: u64 = 60_000;
+/// Hosts start at this time, in milliseconds.
+const START_TIME: u64 = 1_000;
 
 fn setting(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
+/// Hosts of a history, and what happens to them.
+#[derive(Clone, Copy)]
+struct Shape {
+    /// Number of hosts with a disk.
+    disks: usize,
+    tolerance: Tolerance,
+    /// Whether hosts are replaced by others.
+    replaced: bool,
+    /// Whether more hosts may be down, frozen or cut off at once than are to be borne; still no
+    /// more disks are lost.
+    overlapping: bool,
+    /// When faults begin, in milliseconds.
+    first_fault: u64,
+}
+
+const ONE_OF_THREE: Tolerance = Tolerance { at_once: 1, catch_up: 4_000 };
+const TWO_OF_SIX: Tolerance = Tolerance { at_once: 2, catch_up: 6_000 };
+
+impl Shape {
+    /// Hosts keep their addresses.
+    fn fixed_hosts() -> Shape {
+        Shape {
+            disks: DISKS,
+            tolerance: ONE_OF_THREE,
+            replaced: false,
+            overlapping: true,
+            first_fault: 4_000,
+        }
+    }
+
+    /// Hosts are replaced. A third of the histories have more hosts, another third overlapping
+    /// losses.
+    fn replaced_hosts(seed: u64) -> Shape {
+        let six = seed % 3 == 2;
+        let tolerance = if six { TWO_OF_SIX } else { ONE_OF_THREE };
+        Shape {
+            disks: if six { 2 * DISKS } else { DISKS },
+            tolerance,
+            replaced: true,
+            overlapping: seed.is_multiple_of(3),
+            first_fault: START_TIME + tolerance.catch_up,
+        }
+    }
+}
+
 /// Recoveries from injected faults, with the times at which they are due.
-#[derive(Default)]
 struct Pending {
+    losses: Losses,
+    replacements: Replacements,
+    shape: Shape,
+    /// When the next host with a disk is lost, if that is to be borne then.
+    next_loss: Option<u64>,
     /// Hosts to start again.
     restart: Vec<(u64, usize)>,
     /// When partitioned hosts are connected again.
@@ -34,24 +91,50 @@
     heal_workers: Option<u64>,
     /// Workers to start again.
     restart_workers: Vec<(u64, usize)>,
-    /// When a host with a disk was last down, frozen or partitioned.
-    last_disturbance: u64,
+}
+
+impl Pending {
+    fn new(world: &World, shape: Shape) -> Pending {
+        Pending {
+            losses: Losses::new(shape.tolerance, world),
+            replacements: Replacements::default(),
+            shape,
+            next_loss: None,
+            restart: Vec::new(),
+            heal: None,
+            heal_workers: None,
+            restart_workers: Vec::new(),
+        }
+    }
+
+    fn observe(&mut self, world: &World) {
+        self.losses.observe(world, &self.replacements);
+    }
+
+    /// When losses or replacements are to be looked at again.
+    fn next_due(&self, now: u64) -> Option<u64> {
+        if !self.shape.replaced {
+            return None;
+        }
+        let due = self.losses.next_back(now).into_iter().chain(self.replacements.next_due());
+        due.chain(self.next_loss).filter(|at| *at > now).min()
+    }
 }
 
 /// The clocks of two hosts differ by less than this, in milliseconds. Processes set their clocks to
 /// the time of day when they start, and that may jump.
 const MAX_CLOCK_DIFFERENCE: u64 = 20_000;
-
-/// A host with a disk that was lost for a while may still be catching up for this long, in
+/// A host with a disk is lost at once when that is to be borne, or within this time, in
 /// milliseconds.
-const CATCH_UP_PERIOD: u64 = 4_000;
+const MAX_TIME_TO_NEXT_LOSS: u64 = 6_000;
 
 /// Injects one random fault.
 fn inject_fault(world: &mut World, pending: &mut Pending) {
     let now = world.now;
     match world.rng.u8(..9) {
+        0..=5 if !pending.shape.overlapping => disturb_entry_host(world, pending),
         0 => {
-            let i = world.rng.usize(..HOSTS);
+            let i = world.any_host();
             if world.is_up(i) {
                 world.kill(i);
                 let back = now + world.rng.u64(200..4_000);
@@ -59,29 +142,30 @@
             }
         }
         1 => {
-            let i = world.leader().unwrap_or(0);
+            let i = world.leader().unwrap_or(world.group[0]);
             let span = world.rng.u64(300..7_000);
             world.freeze(i, span);
         }
         2 => {
-            let i = world.rng.usize(..HOSTS);
+            let i = world.any_host();
             let span = world.rng.u64(300..3_000);
             world.freeze(i, span);
         }
         3 => {
-            let i = world.leader().unwrap_or_else(|| world.rng.usize(..DISKS));
-            world.cut.insert(i);
-            pending.heal = Some(now + world.rng.u64(500..7_000));
+            let i = world.leader().unwrap_or_else(|| world.any_of_group());
+            cut_off(world, pending, i);
         }
         4 => {
-            let i = world.rng.usize(..HOSTS);
-            world.cut.insert(i);
-            pending.heal = Some(now + world.rng.u64(500..7_000));
-        }
-        // Wipe one disk at a time, and only after all hosts have caught up since the last loss of
-        // any kind, so that no majority is lost.
-        5 if now > pending.last_disturbance + CATCH_UP_PERIOD => {
-            let i = world.rng.usize(..DISKS);
+            let i = world.any_host();
+            cut_off(world, pending, i);
+        }
+        // One disk is lost at a time, and only after all hosts have caught up since the last loss
+        // of any kind, so that no majority is lost.
+        5 if pending.losses.allow_one_more(now) && pending.shape.replaced => {
+            lose_disk(world, pending)
+        }
+        5 if pending.losses.allow_one_more(now) => {
+            let i = world.any_of_group();
             world.wipe(i);
             pending.restart.push((now + world.rng.u64(200..2_000), i));
         }
@@ -104,15 +188,107 @@
     }
 }
 
+fn cut_off(world: &mut World, pending: &mut Pending, i: usize) {
+    eprintln!("{} cut h{i} leader {:?}", world.now, world.leader());
+    world.cut.insert(i);
+    pending.heal = Some(world.now + world.rng.u64(500..7_000));
+}
+
+/// Disturbs a host without a disk.
+fn disturb_entry_host(world: &mut World, pending: &mut Pending) {
+    let i = world.rng.usize(DISKS..HOSTS);
+    match world.rng.u8(..3) {
+        0 if world.is_up(i) => {
+            world.kill(i);
+            pending.restart.push((world.now + world.rng.u64(200..4_000), i));
+        }
+        1 => {
+            let span = world.rng.u64(300..3_000);
+            world.freeze(i, span);
+        }
+        2 => {
+            // Other hosts must not be cut off for longer because of this one.
+            let heal = pending.heal;
+            cut_off(world, pending, i);
+            pending.heal = heal.or(pending.heal);
+        }
+        _ => {}
+    }
+}
+
+/// Loses hosts with a disk when that is to be borne: half of the time at once.
+fn lose_when_allowed(world: &mut World, pending: &mut Pending) {
+    let now = world.now;
+    while pending.losses.allow_one_more(now) {
+        let delay = if world.rng.bool() { 0 } else { world.rng.u64(..MAX_TIME_TO_NEXT_LOSS) };
+        if now < *pending.next_loss.get_or_insert(now + delay) {
+            return;
+        }
+        pending.next_loss = None;
+        match world.rng.u8(..5) {
+            0 => disturb_one(world, pending),
+            _ => lose_disk(world, pending),
+        }
+        pending.observe(world);
+    }
+}
+
+/// A host with a disk that does not count as lost: often the leader or the newest.
+fn victim(world: &mut World, pending: &Pending) -> Option<usize> {
+    let sound: Vec<usize> =
+        world.group.iter().copied().filter(|i| !pending.losses.is_lost(*i, world.now)).collect();
+    let leader = world.leader_of(&sound);
+    match world.rng.u8(..4) {
+        0 | 1 if leader.is_some() => leader,
+        2 => sound.last().copied(),
+        _ => (!sound.is_empty()).then(|| sound[world.rng.usize(..sound.len())]),
+    }
+}
+
+/// A host with a disk is down, frozen or cut off for a while.
+fn disturb_one(world: &mut World, pending: &mut Pending) {
+    let Some(i) = victim(world, pending) else { return };
+    match world.rng.u8(..3) {
+        0 => {
+            world.kill(i);
+            pending.restart.push((world.now + world.rng.u64(200..4_000), i));
+        }
+        1 => {
+            let span = world.rng.u64(300..7_000);
+            world.freeze(i, span);
+        }
+        _ => cut_off(world, pending, i),
+    }
+}
+
+/// A host loses its disk, is replaced by another one, or is to be stopped once another one has
+/// caught up.
+fn lose_disk(world: &mut World, pending: &mut Pending) {
+    let Some(i) = victim(world, pending) else { return };
+    match world.rng.u8(..6) {
+        0 => {
+            world.wipe(i);
+            pending.restart.push((world.now + world.rng.u64(200..2_000), i));
+        }
+        1 | 2 if !pending.replacements.has_planned() => {
+            let more = if world.rng.bool() { 0 } else { world.rng.u64(..MAX_TIME_TO_NEXT_LOSS) };
+            let after = pending.shape.tolerance.catch_up + more;
+            pending.replacements.replace_planned(world, i, after);
+        }
+        _ => pending.replacements.replace(world, i),
+    }
+}
+
 /// Carries out recoveries that are due, or all of them.
 fn recover(world: &mut World, pending: &mut Pending, all: bool) {
     let now = world.now;
-    if !(0..DISKS).all(|i| world.is_healthy(i)) {
-        pending.last_disturbance = now;
-    }
+    pending.observe(world);
     let due = |at: u64| all || now >= at;
     let restart = std::mem::take(&mut pending.restart);
     for (at, i) in restart {
+        if world.is_gone(i) {
+            continue;
+        }
         if due(at) {
             world.start(i, false);
         } else {
@@ -128,6 +304,7 @@
         }
     }
     if pending.heal.is_some_and(due) {
+        eprintln!("{now} heal");
         world.cut.clear();
         pending.heal = None;
     }
@@ -138,28 +315,37 @@
     if all {
         world.late_orders = 0;
     }
+    let may_be_lost = pending.losses.allow_one_more(now);
+    pending.replacements.advance(world, may_be_lost, all);
+    pending.observe(world);
 }
 
 /// Runs one history. Returns the number of starts, or a description of the violated invariants.
-fn run_history(seed: u64, injected_bug: InjectedBug) -> Result<u64, String> {
+fn run_history(seed: u64, injected_bug: InjectedBug, shape: Shape) -> Result<u64, String> {
     let mut clocks = fastrand::Rng::with_seed(!seed);
     let clocks_ahead = std::array::from_fn(|_| clocks.u64(..MAX_CLOCK_DIFFERENCE));
     let mut world = World::with_clocks(seed, injected_bug, clocks_ahead);
+    for _ in DISKS..shape.disks {
+        world.add_host(clocks.u64(..MAX_CLOCK_DIFFERENCE));
+    }
     world.configure(1);
-    world.run_until(4_000);
-    let mut pending = Pending::default();
+    world.run_until(shape.first_fault);
+    let mut pending = Pending::new(&world, shape);
     let mut ids = Vec::new();
     let end = world.now + FAULT_PERIOD;
     while world.now < end {
         let next = world.now + world.rng.u64(20..400);
+        let next = pending.next_due(world.now).map_or(next, |due| due.min(next));
         world.run_until(next);
-        if !world.violations.is_empty() {
-            return Err(world.violations.join("\n"));
-        }
+        check(&mut world, &mut pending)?;
         recover(&mut world, &mut pending, false);
+        if !pending.shape.overlapping {
+            lose_when_allowed(&mut world, &mut pending);
+        }
         if world.rng.u8(..5) == 0 {
             inject_fault(&mut world, &mut pending);
         }
+        pending.observe(&world);
         if world.rng.u8(..3) > 0 {
             ids.push(world.submit());
         }
@@ -176,43 +362,90 @@
     while world.now < settled {
         let next = world.now + 2_000;
         world.run_until(next);
+        check(&mut world, &mut pending)?;
         world.ask_all();
     }
     world.run_until(settled + 3_000);
+    check(&mut world, &mut pending)?;
+    check_jobs_are_over(&world)?;
+    lose_at_the_end(&mut world, &mut pending)?;
+    Ok(world.starts)
+}
+
+/// Checks what the oracle has found, and that the group has a leader when it must have one.
+fn check(world: &mut World, pending: &mut Pending) -> Result<(), String> {
     if !world.violations.is_empty() {
         return Err(world.violations.join("\n"));
     }
+    pending.observe(world);
+    pending.losses.check_leader(world)
+}
+
+fn check_jobs_are_over(world: &World) -> Result<(), String> {
     let over = |shown: Option<Phase>| shown.is_some_and(Phase::is_over);
     let open = world.jobs.iter().filter(|(_, known)| known.accepted && !over(known.shown));
     let open: Vec<String> = open.map(|(id, known)| format!("{id:x} {:?}", known.shown)).collect();
-    if !open.is_empty() {
-        let (count, hosts) = (open.len(), world.describe());
-        return Err(format!("{count} accepted jobs are not over, as {}; {hosts}", open[0]));
+    if open.is_empty() {
+        return Ok(());
     }
-    Ok(world.starts)
+    let (count, hosts) = (open.len(), world.describe());
+    Err(format!("{count} accepted jobs are not over, as {}; {hosts}", open[0]))
 }
 
-#[test]
-fn promises_hold_in_random_histories() {
+/// Loses as many hosts as are to be borne: the others must have a leader and know all jobs.
+fn lose_at_the_end(world: &mut World, pending: &mut Pending) -> Result<(), String> {
+    pending.observe(world);
+    while pending.losses.allow_one_more(world.now) {
+        let i = victim(world, pending).ok_or("no host is left")?;
+        world.kill(i);
+        pending.observe(world);
+    }
+    let end = world.now + TOUCH_TIME + 1;
+    while world.now < end {
+        world.run_until((world.now + 100).min(end));
+        check(world, pending)?;
+    }
+    world.jobs.values_mut().for_each(|known| known.shown = None);
+    world.ask_all();
+    world.run_until(world.now + TOUCH_TIME);
+    check(world, pending)?;
+    check_jobs_are_over(world).map_err(|cause| format!("after the last loss: {cause}"))
+}
+
+/// Runs all histories and fails with the seeds and causes of those that fail.
+fn run_histories(default_count: u64, shape: fn(u64) -> Shape) {
     let first = setting("EBONYWALK_SEED", DEFAULT_SEED);
-    let count = setting("EBONYWALK_HISTORIES", DEFAULT_HISTORIES);
+    let count = setting("EBONYWALK_HISTORIES", default_count);
     println!("histories: {count} from seed {first}");
     let mut starts = 0;
+    let mut failures = Vec::new();
     for seed in first..first + count {
-        match run_history(seed, InjectedBug::None) {
+        match run_history(seed, InjectedBug::None, shape(seed)) {
             Ok(count) => starts += count,
-            Err(cause) => panic!("seed {seed}: {cause}"),
+            Err(cause) => failures.push(format!("seed {seed}: {cause}")),
         }
     }
+    assert!(failures.is_empty(), "{} of {count} fail:\n{}", failures.len(), failures.join("\n"));
     assert!(starts > count * 50, "only {starts} starts: too few for a meaningful test");
 }
 
+#[test]
+fn promises_hold_in_random_histories() {
+    run_histories(DEFAULT_HISTORIES, |_| Shape::fixed_hosts());
+}
+
+/// Guards against a group that can't bear the next loss once a host was replaced.
+#[test]
+fn promises_hold_while_hosts_are_replaced() {
+    run_histories(DEFAULT_REPLACED_HISTORIES, Shape::replaced_hosts);
+}
+
 /// Checks that with an injected bug some history ends with the violation `fault`. A history that
 /// ends first with another consequence of the same bug, one of `also`, is skipped.
 fn assert_detects(injected_bug: InjectedBug, fault: &str, also: &[&str]) {
     let first = setting("EBONYWALK_SEED", DEFAULT_SEED);
     for seed in first..first + DEFAULT_HISTORIES {
-        let Err(cause) = run_history(seed, injected_bug) else { continue };
+        let Err(cause) = run_history(seed, injected_bug, Shape::fixed_hosts()) else { continue };
         if cause.contains(fault) {
             return;
         }
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -1,6 +1,8 @@
 //! Simulation of a cell in virtual time: hosts, disks, an unreliable network, workers, and an
 //! oracle that checks every start. All times are in milliseconds.
 
+pub(crate) mod losses;
+pub(crate) mod replacements;
 mod worker;
 
 use consensus::{Entry, HardState, Ready, Restored, Snapshot};
@@ -92,6 +94,19 @@
     backlog: Vec<Input>,
 }
 
+impl Host {
+    fn new(clock_ahead: u64) -> Host {
+        Host {
+            node: None,
+            disk: Disk::default(),
+            process: 0,
+            clock_ahead,
+            frozen_until: 0,
+            backlog: Vec::new(),
+        }
+    }
+}
+
 /// What clients and the oracle know of a job.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct JobRecord {
@@ -115,6 +130,10 @@
     last_event: usize,
     /// Hosts with a disk besides the first `DISKS`.
     pub(crate) extra_disks: BTreeSet<usize>,
+    /// Hosts with a disk that are not gone for good.
+    pub(crate) group: Vec<usize>,
+    /// Hosts that the settings name as seeds.
+    pub(crate) seeds: Vec<usize>,
     /// Hosts that are cut off from the others.
     pub(crate) cut: BTreeSet<usize>,
     /// Workers that no host can reach.
@@ -184,26 +203,20 @@
         clocks_ahead: [u64; HOSTS],
     ) -> World {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let host = |i: usize| Host {
-            node: None,
-            disk: Disk::default(),
-            process: 0,
-            clock_ahead: clocks_ahead[i],
-            frozen_until: 0,
-            backlog: Vec::new(),
-        };
         let workers = (0..WORKERS)
             .map(|i| Worker::new(&format!("w{i}"), 1_000, rng.u64(980..=1_000)))
             .collect();
         let mut world = World {
             now: 1_000,
             rng,
-            hosts: (0..HOSTS).map(host).collect(),
+            hosts: clocks_ahead.into_iter().map(Host::new).collect(),
             workers,
             events: BinaryHeap::new(),
             queued: BTreeMap::new(),
             last_event: 0,
             extra_disks: BTreeSet::new(),
+            group: (0..DISKS).collect(),
+            seeds: (0..DISKS).collect(),
             cut: BTreeSet::new(),
             cut_workers: BTreeSet::new(),
             late_orders: 0,
@@ -233,9 +246,10 @@
 
     /// Starts the process of a host from its disk.
     pub(crate) fn start(&mut self, i: usize, bootstrap: bool) {
+        eprintln!("{} start h{i}", self.now);
         let disk = i < DISKS || self.extra_disks.contains(&i);
         let cfg = NodeConfigBuilder::new(ip(i))
-            .seeds((0..DISKS).map(ip).collect())
+            .seeds(self.seeds.iter().copied().map(ip).collect())
             .bootstrap(bootstrap)
             .disk(disk)
             .entries_per_snapshot(200)
@@ -270,9 +284,9 @@
         self.hosts[i].node.is_some()
     }
 
-    /// Whether a host is up and not frozen while no host is cut off.
-    pub(crate) fn is_healthy(&self, i: usize) -> bool {
-        self.is_up(i) && self.hosts[i].frozen_until <= self.now && self.cut.is_empty()
+    /// Whether a host is up and not frozen.
+    pub(crate) fn is_running(&self, i: usize) -> bool {
+        self.is_up(i) && self.hosts[i].frozen_until <= self.now
     }
 
     pub(crate) fn wipe(&mut self, i: usize) {
@@ -288,7 +302,8 @@
     }
 
     pub(crate) fn leader(&self) -> Option<usize> {
-        self.leader_of(&[0, 1, 2])
+        let hosts: Vec<usize> = (0..DISKS).chain(self.extra_disks.iter().copied()).collect();
+        self.leader_of(&hosts)
     }
 
     /// The leader among these hosts.
@@ -340,7 +355,7 @@
     }
 
     pub(crate) fn configure(&mut self, version: u64) {
-        let host = self.rng.usize(..DISKS);
+        let host = self.any_of_group();
         self.call(host, Call::Configure(Box::new(configuration(version))));
     }
 
@@ -456,7 +471,7 @@
             (Call::CountWaiting { .. }, Ok(Answer::Waiting(count))) => self.waiting += count,
             (Call::JobPhase { id, .. }, Ok(Answer::Phase(phase))) => self.on_phase(id, phase),
             (Call::Configure(configuration), Err(_)) => {
-                let host = self.rng.usize(..DISKS);
+                let host = self.any_of_group();
                 let call = Call::Configure(configuration);
                 self.after(CALL_RETRY_INTERVAL, Event::Call(host, Box::new(call)));
             }
@@ -722,7 +737,7 @@
             draining: false,
         };
         let heartbeat = WorkerHeartbeat { info, clock: Some(worker.clock(self.now)) };
-        let host = self.rng.usize(..DISKS);
+        let host = self.any_of_group();
         self.call(host, Call::Heartbeat(Box::new(heartbeat)));
     }
 
--- /dev/null
+++ b/crates/scheduler/tests/world/replacements.rs
@@ -0,0 +1,171 @@
+//! Hosts with a disk that are replaced by others with an empty disk at another address.
+
+use super::{ip, Host, World, DISKS, HOSTS};
+use scheduler::{Input, Node};
+
+/// Time between the loss of a host and the start of its successor, in milliseconds.
+pub(crate) const SUCCESSOR_DELAY: u64 = 1_000;
+/// Hosts that the settings name as seeds.
+const SEEDS: usize = 3;
+/// The settings name a new host at the latest this long after it starts, in milliseconds.
+const MAX_SEEDS_DELAY: u64 = 5_000;
+/// A host that is stopped is gone after this time at the latest, in milliseconds: `graceS` of the
+/// deployment.
+const MAX_DRAIN_TIME: u64 = 6_000;
+/// The clock of a new host is ahead by less than this, in milliseconds.
+const MAX_CLOCK_AHEAD: u64 = 20_000;
+
+impl World {
+    pub(crate) fn any_of_group(&mut self) -> usize {
+        self.group[self.rng.usize(..self.group.len())]
+    }
+
+    /// A host that is not gone for good.
+    pub(crate) fn any_host(&mut self) -> usize {
+        let entry_hosts = HOSTS - DISKS;
+        let picked = self.rng.usize(..entry_hosts + self.group.len());
+        self.group.get(picked).copied().unwrap_or_else(|| DISKS + picked - self.group.len())
+    }
+
+    pub(crate) fn is_gone(&self, i: usize) -> bool {
+        !self.group.contains(&i) && !(DISKS..HOSTS).contains(&i)
+    }
+
+    /// Starts a new host with an empty disk at a new address.
+    pub(crate) fn add_host(&mut self, clock_ahead: u64) -> usize {
+        let i = self.hosts.len();
+        eprintln!("{} add h{i}", self.now);
+        self.hosts.push(Host::new(clock_ahead));
+        self.extra_disks.insert(i);
+        self.group.push(i);
+        self.start(i, false);
+        i
+    }
+
+    /// Ends a host for good.
+    pub(crate) fn remove_host(&mut self, i: usize) {
+        eprintln!("{} h{i} is gone for good", self.now);
+        self.kill(i);
+        self.group.retain(|host| *host != i);
+    }
+
+    /// Changes the seeds in the settings and reloads them on all hosts.
+    pub(crate) fn reload_seeds(&mut self, seeds: &[usize]) {
+        eprintln!("{} seeds {seeds:?}", self.now);
+        self.seeds = seeds.to_vec();
+        let seeds: Vec<_> = seeds.iter().copied().map(ip).collect();
+        for i in 0..self.hosts.len() {
+            self.input(i, Input::Seeds(seeds.clone()));
+        }
+    }
+
+    pub(crate) fn drain(&mut self, i: usize) {
+        eprintln!("{} drain h{i} leader {:?}", self.now, self.leader());
+        self.input(i, Input::Drain);
+    }
+
+    pub(crate) fn is_drained(&self, i: usize) -> bool {
+        self.hosts[i].node.as_ref().is_none_or(Node::is_drained)
+    }
+}
+
+/// Replacements of hosts that are in progress.
+#[derive(Default)]
+pub(crate) struct Replacements {
+    /// When successors of lost hosts start.
+    successors: Vec<u64>,
+    /// When the settings name the new hosts.
+    seeds: Option<u64>,
+    /// Hosts with a successor that are to be stopped, with the earliest time.
+    planned: Vec<(u64, usize)>,
+    /// Hosts that are being stopped, with the time at which they are gone at the latest.
+    stopping: Vec<(u64, usize)>,
+}
+
+impl Replacements {
+    /// Loses a host for good; another one replaces it.
+    pub(crate) fn replace(&mut self, world: &mut World, i: usize) {
+        world.remove_host(i);
+        self.planned.retain(|(_, host)| *host != i);
+        self.successors.push(world.now + SUCCESSOR_DELAY);
+    }
+
+    /// Starts the successor of a host that is to be stopped `after` that.
+    pub(crate) fn replace_planned(&mut self, world: &mut World, i: usize, after: u64) {
+        self.planned.push((world.now + after, i));
+        self.start_successor(world);
+    }
+
+    /// Whether a planned replacement is in progress.
+    pub(crate) fn has_planned(&self) -> bool {
+        !self.planned.is_empty() || !self.stopping.is_empty()
+    }
+
+    /// Lost hosts whose successor has not started.
+    pub(crate) fn missing(&self) -> usize {
+        self.successors.len()
+    }
+
+    pub(crate) fn is_stopping(&self, i: usize) -> bool {
+        self.stopping.iter().any(|(_, host)| *host == i)
+    }
+
+    pub(crate) fn next_due(&self) -> Option<u64> {
+        let planned = self.planned.iter().map(|(at, _)| *at);
+        self.successors.iter().copied().chain(self.seeds).chain(planned).min()
+    }
+
+    /// Carries out what is due, or all of it. A host is stopped only if one `may_be_lost`; one that
+    /// is not being stopped yet at the end stays.
+    pub(crate) fn advance(&mut self, world: &mut World, may_be_lost: bool, all: bool) {
+        let now = world.now;
+        let (due, later) = self.successors.iter().partition(|at| all || now >= **at);
+        self.successors = later;
+        let due: Vec<u64> = due;
+        due.iter().for_each(|_| self.start_successor(world));
+        if self.seeds.is_some_and(|at| all || now >= at) {
+            self.seeds = None;
+            self.reload_seeds(world);
+        }
+        if all {
+            self.planned.clear();
+        }
+        if may_be_lost {
+            self.stop_next(world);
+        }
+        for (until, i) in std::mem::take(&mut self.stopping) {
+            if all || now >= until || world.is_drained(i) {
+                world.remove_host(i);
+            } else {
+                self.stopping.push((until, i));
+            }
+        }
+    }
+
+    fn start_successor(&mut self, world: &mut World) {
+        let clock_ahead = world.rng.u64(..MAX_CLOCK_AHEAD);
+        world.add_host(clock_ahead);
+        let delay = world.rng.u64(..MAX_SEEDS_DELAY);
+        if delay < SUCCESSOR_DELAY {
+            self.reload_seeds(world);
+        } else {
+            self.seeds = Some(world.now + delay);
+        }
+    }
+
+    /// The last hosts of the group become the seeds: new ones come last.
+    fn reload_seeds(&self, world: &mut World) {
+        let first = world.group.len().saturating_sub(SEEDS);
+        let seeds = world.group[first..].to_vec();
+        world.reload_seeds(&seeds);
+    }
+
+    fn stop_next(&mut self, world: &mut World) {
+        let due = self.planned.iter().position(|(at, i)| world.now >= *at && world.is_up(*i));
+        if let Some(found) = due {
+            let (_, i) = self.planned.remove(found);
+            world.drain(i);
+            self.stopping.push((world.now + MAX_DRAIN_TIME, i));
+        }
+    }
+}
