--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -274,6 +274,24 @@
         self.after(0, Event::Wake(i, process));
     }
 
+    /// Starts a host with an empty disk in place of one that is gone for good. The settings of all
+    /// hosts name it as a seed instead.
+    pub(crate) fn replace(&mut self, gone: usize, new: usize) {
+        self.extra_disks.insert(new);
+        self.seeds.iter_mut().filter(|seed| **seed == gone).for_each(|seed| *seed = new);
+        self.start(new, false);
+        let seeds: Vec<String> = self.seeds.iter().copied().map(ip).collect();
+        for i in (0..HOSTS).filter(|i| self.is_up(*i)).collect::<Vec<_>>() {
+            self.input(i, Input::Seeds(seeds.clone()));
+        }
+    }
+
+    /// Tells a host that it is about to be stopped.
+    pub(crate) fn drain(&mut self, i: usize) {
+        eprintln!("{} drain h{i} leader {:?}", self.now, self.leader());
+        self.input(i, Input::Drain);
+    }
+
     pub(crate) fn kill(&mut self, i: usize) {
         eprintln!("{} kill h{i} leader {:?}", self.now, self.leader());
         self.hosts[i].node = None;
--- a/crates/scheduler/tests/world/replacements.rs
+++ b/crates/scheduler/tests/world/replacements.rs
@@ -12,6 +12,9 @@
 /// A host that is stopped is gone after this time at the latest, in milliseconds: `graceS` of the
 /// deployment.
 const MAX_DRAIN_TIME: u64 = 6_000;
+/// A host that is stopped checks at this interval whether it is drained, in milliseconds, as the
+/// processes do.
+const DRAIN_POLL_INTERVAL: u64 = 50;
 /// The clock of a new host is ahead by less than this, in milliseconds.
 const MAX_CLOCK_AHEAD: u64 = 20_000;
 
@@ -59,11 +62,6 @@
         }
     }
 
-    pub(crate) fn drain(&mut self, i: usize) {
-        eprintln!("{} drain h{i} leader {:?}", self.now, self.leader());
-        self.input(i, Input::Drain);
-    }
-
     pub(crate) fn is_drained(&self, i: usize) -> bool {
         self.hosts[i].node.as_ref().is_none_or(Node::is_drained)
     }
@@ -78,8 +76,15 @@
     seeds: Option<u64>,
     /// Hosts with a successor that are to be stopped, with the earliest time.
     planned: Vec<(u64, usize)>,
-    /// Hosts that are being stopped, with the time at which they are gone at the latest.
-    stopping: Vec<(u64, usize)>,
+    stopping: Vec<Stop>,
+}
+
+/// A host that is being stopped.
+struct Stop {
+    host: usize,
+    next_poll: u64,
+    /// When it is gone at the latest.
+    until: u64,
 }
 
 impl Replacements {
@@ -107,12 +112,13 @@
     }
 
     pub(crate) fn is_stopping(&self, i: usize) -> bool {
-        self.stopping.iter().any(|(_, host)| *host == i)
+        self.stopping.iter().any(|stop| stop.host == i)
     }
 
     pub(crate) fn next_due(&self) -> Option<u64> {
         let planned = self.planned.iter().map(|(at, _)| *at);
-        self.successors.iter().copied().chain(self.seeds).chain(planned).min()
+        let polls = self.stopping.iter().map(|stop| stop.next_poll);
+        self.successors.iter().copied().chain(self.seeds).chain(planned).chain(polls).min()
     }
 
     /// Carries out what is due, or all of it. A host is stopped only if one `may_be_lost`; one that
@@ -133,11 +139,13 @@
         if may_be_lost {
             self.stop_next(world);
         }
-        for (until, i) in std::mem::take(&mut self.stopping) {
-            if all || now >= until || world.is_drained(i) {
-                world.remove_host(i);
+        for stop in std::mem::take(&mut self.stopping) {
+            let polled = now >= stop.next_poll;
+            if all || now >= stop.until || (polled && world.is_drained(stop.host)) {
+                world.remove_host(stop.host);
             } else {
-                self.stopping.push((until, i));
+                let next_poll = if polled { now + DRAIN_POLL_INTERVAL } else { stop.next_poll };
+                self.stopping.push(Stop { next_poll, ..stop });
             }
         }
     }
@@ -163,9 +171,10 @@
     fn stop_next(&mut self, world: &mut World) {
         let due = self.planned.iter().position(|(at, i)| world.now >= *at && world.is_up(*i));
         if let Some(found) = due {
-            let (_, i) = self.planned.remove(found);
-            world.drain(i);
-            self.stopping.push((world.now + MAX_DRAIN_TIME, i));
+            let (_, host) = self.planned.remove(found);
+            world.drain(host);
+            let (next_poll, until) = (world.now + DRAIN_POLL_INTERVAL, world.now + MAX_DRAIN_TIME);
+            self.stopping.push(Stop { host, next_poll, until });
         }
     }
 }
