Test how replaced hosts join the group

Why: the random histories reach these cases rarely: the only seed of a new host is a follower (forward_join_request does nothing), its first seeds are all gone, a host that was removed while it was down comes back with its disk, a host loses its disk again before its new member has a vote.

The new host learns the members from the follower's answer to its heartbeat and announces itself to them.

--- /dev/null
+++ b/crates/scheduler/tests/replaced_hosts.rs
@@ -0,0 +1,96 @@
+//! Hosts of the group that are replaced, each case in the shortest order of events that the random
+//! histories found or left open.
+
+#[allow(dead_code)]
+mod world;
+
+use consensus::Role;
+use dispatch::InjectedBug;
+use world::losses::TOUCH_TIME;
+use world::replacements::SUCCESSOR_DELAY;
+use world::{ip, World};
+
+/// A new host counts as lost for this long, in milliseconds.
+const CATCH_UP_TIME: u64 = 4_000;
+
+fn world(seed: u64) -> World {
+    let mut world = World::new(seed, InjectedBug::None);
+    world.configure(1);
+    world.run_until(6_000);
+    world
+}
+
+fn leader(world: &World) -> usize {
+    world.leader_of(&world.group).unwrap_or_else(|| panic!("no leader: {}", world.describe()))
+}
+
+fn follower(world: &World) -> usize {
+    let leader = leader(world);
+    *world.group.iter().find(|i| **i != leader).expect("a follower")
+}
+
+/// Whether a host has a vote, as the leader knows it.
+fn votes(world: &World, i: usize) -> bool {
+    world.group_members(leader(world)).contains(&(ip(i), Role::Voter))
+}
+
+fn add_host(world: &mut World) -> usize {
+    let new = world.add_host(0);
+    world.run_until(world.now + CATCH_UP_TIME);
+    new
+}
+
+/// Guards against a new host that never joins because its only seed is a follower.
+#[test]
+fn a_new_host_joins_through_a_follower() {
+    let mut world = world(34);
+    let seed = follower(&world);
+    world.seeds = vec![seed];
+    let new = add_host(&mut world);
+    assert!(votes(&world, new), "{:?}", world.group_members(leader(&world)));
+}
+
+/// Guards against a new host that never joins because its first seeds are all gone.
+#[test]
+fn a_new_host_joins_once_its_seeds_are_reloaded() {
+    let mut world = world(35);
+    let gone = follower(&world);
+    world.seeds = vec![gone];
+    world.remove_host(gone);
+    world.run_until(world.now + SUCCESSOR_DELAY);
+    let new = add_host(&mut world);
+    assert!(!votes(&world, new), "the host has joined without seeds: the test is meaningless");
+    let seed = follower(&world);
+    world.reload_seeds(&[seed, new]);
+    world.run_until(world.now + TOUCH_TIME);
+    assert!(votes(&world, new), "{:?}", world.group_members(leader(&world)));
+}
+
+/// Guards against a host that never votes again because it was removed while it was down.
+#[test]
+fn a_removed_host_that_comes_back_with_its_disk_votes_again() {
+    let mut world = world(36);
+    add_host(&mut world);
+    let down = follower(&world);
+    world.kill(down);
+    world.run_until(world.now + 2 * CATCH_UP_TIME);
+    assert!(!votes(&world, down), "the host was not removed: the test is meaningless");
+    world.start(down, false);
+    world.run_until(world.now + CATCH_UP_TIME);
+    assert!(votes(&world, down), "{:?}", world.group_members(leader(&world)));
+}
+
+/// Guards against a learner of a lost disk that keeps its host's next one out.
+#[test]
+fn a_host_that_loses_its_disk_twice_in_a_row_votes() {
+    let mut world = world(37);
+    let wiped = follower(&world);
+    for _ in 0..2 {
+        world.wipe(wiped);
+        world.start(wiped, false);
+        world.run_until(world.now + 300);
+    }
+    world.run_until(world.now + CATCH_UP_TIME);
+    let members = world.group_members(leader(&world));
+    assert!(votes(&world, wiped) && members.len() == 3, "{members:?}");
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -155,7 +155,7 @@
     Duration::from_millis(millis)
 }
 
-fn ip(host: usize) -> String {
+pub(crate) fn ip(host: usize) -> String {
     format!("10.0.0.{}", host + 1)
 }
 
