Add a failing test: a stopped leader is gone before its vote is

After a planned replacement the old host stops counting at once, since its successor has had its catch-up time, and the next loss may come at the same moment. The old leader hands over the lead and says that it is drained; 50 ms later it ends, and its vote is still there. Two of four voters are left, which elect nobody:

no leader: host 0 is down; host 1 is down; host 2 ... term 2, commit 11, last 11, voters [4]; host 6 ... term 2, commit 11, last 11, voters [4]

Suspected cause: Node::is_drained (crates/scheduler/src/node.rs) doesn't wait until the vote has moved.

--- a/crates/scheduler/tests/replaced_hosts.rs
+++ b/crates/scheduler/tests/replaced_hosts.rs
@@ -12,6 +12,10 @@
 
 /// A new host counts as lost for this long, in milliseconds.
 const CATCH_UP_TIME: u64 = 4_000;
+/// A process that is stopped checks at this interval whether it is drained, in milliseconds.
+const DRAIN_POLL_INTERVAL: u64 = 50;
+/// A process that is stopped ends after this time at the latest, in milliseconds.
+const MAX_DRAIN_TIME: u64 = 6_000;
 
 fn world(seed: u64) -> World {
     let mut world = World::new(seed, InjectedBug::None);
@@ -40,6 +44,24 @@
     new
 }
 
+/// Drains a host and ends it for good as soon as it says that it is drained.
+fn stop(world: &mut World, i: usize) {
+    let until = world.now + MAX_DRAIN_TIME;
+    world.drain(i);
+    world.run_until(world.now + DRAIN_POLL_INTERVAL);
+    while world.now < until && !world.is_drained(i) {
+        world.run_until(world.now + DRAIN_POLL_INTERVAL);
+    }
+    world.remove_host(i);
+}
+
+/// Loses a host for good; the others must elect a leader.
+fn assert_bears_the_loss_of(world: &mut World, lost: usize) {
+    world.remove_host(lost);
+    world.run_until(world.now + TOUCH_TIME);
+    leader(world);
+}
+
 /// Guards against a new host that never joins because its only seed is a follower.
 #[test]
 fn a_new_host_joins_through_a_follower() {
@@ -94,3 +116,14 @@
     let members = world.group_members(leader(&world));
     assert!(votes(&world, wiped) && members.len() == 3, "{members:?}");
 }
+
+/// Guards against a leader that is drained while it still has a vote that nobody can take over.
+#[test]
+fn the_next_host_may_be_lost_as_soon_as_a_stopped_leader_is_gone() {
+    let mut world = world(31);
+    add_host(&mut world);
+    let stopped = leader(&world);
+    stop(&mut world, stopped);
+    let lost = follower(&world);
+    assert_bears_the_loss_of(&mut world, lost);
+}
