Add a failing test: an odd number of voters keeps two dead votes

A new host joins, whose predecessor is to be stopped later; another host is lost and replaced; the predecessor is stopped and gone. There are five voters now, two of them dead. None is removed before 8 s of silence, because removing one of five gains nothing; removing both gains a loss. 2.5 s after the stop the next host is lost and two of five are left:

no leader: ... host 6 ... term 1, commit 12, last 12, voters [5]; host 7 ... term 1, commit 12, voters [5]

Suspected cause: without_leaving_voter (crates/scheduler/src/reconfigure.rs) looks at one leaving voter and at the parity, not at how many of the voters are leaving.

--- a/crates/scheduler/tests/replaced_hosts.rs
+++ b/crates/scheduler/tests/replaced_hosts.rs
@@ -16,6 +16,8 @@
 const DRAIN_POLL_INTERVAL: u64 = 50;
 /// A process that is stopped ends after this time at the latest, in milliseconds.
 const MAX_DRAIN_TIME: u64 = 6_000;
+/// A voter that is silent for this long has given up its vote, in milliseconds.
+const SILENT_VOTER_TIME: u64 = 2_500;
 
 fn world(seed: u64) -> World {
     let mut world = World::new(seed, InjectedBug::None);
@@ -44,6 +46,13 @@
     new
 }
 
+/// Loses a host for good, and waits until its successor has caught up.
+fn replace(world: &mut World, lost: usize) -> usize {
+    world.remove_host(lost);
+    world.run_until(world.now + SUCCESSOR_DELAY);
+    add_host(world)
+}
+
 /// Drains a host and ends it for good as soon as it says that it is drained.
 fn stop(world: &mut World, i: usize) {
     let until = world.now + MAX_DRAIN_TIME;
@@ -127,3 +136,17 @@
     let lost = follower(&world);
     assert_bears_the_loss_of(&mut world, lost);
 }
+
+/// Guards against two votes of hosts that are gone which an odd number of voters keeps.
+#[test]
+fn two_hosts_that_are_gone_both_lose_their_votes() {
+    let mut world = world(32);
+    let stopped = follower(&world);
+    add_host(&mut world);
+    let lost = *world.group.iter().find(|i| **i != stopped && **i != leader(&world)).expect("one");
+    replace(&mut world, lost);
+    stop(&mut world, stopped);
+    world.run_until(world.now + SILENT_VOTER_TIME);
+    let next = leader(&world);
+    assert_bears_the_loss_of(&mut world, next);
+}
