Add a failing test: learners stay members after their hosts are gone

With five voters the sixth host with a disk is a learner. Its host is lost and replaced at a new address three times; 20 s later the group has 9 members with 4 learners, where 6 hosts with a disk are there.

Suspected cause: leaving_voter (crates/scheduler/src/reconfigure.rs) looks at voters only, and JoinRequests::next_change (crates/consensus/src/join_requests.rs) removes a learner only if its host asks again with another data directory.

--- a/crates/scheduler/tests/replaced_hosts.rs
+++ b/crates/scheduler/tests/replaced_hosts.rs
@@ -18,6 +18,8 @@
 const MAX_DRAIN_TIME: u64 = 6_000;
 /// A voter that is silent for this long has given up its vote, in milliseconds.
 const SILENT_VOTER_TIME: u64 = 2_500;
+/// Voters that a group has at most.
+const MAX_VOTERS: usize = 5;
 
 fn world(seed: u64) -> World {
     let mut world = World::new(seed, InjectedBug::None);
@@ -150,3 +152,20 @@
     let next = leader(&world);
     assert_bears_the_loss_of(&mut world, next);
 }
+
+/// Guards against learners that stay members for ever after their hosts are gone.
+#[test]
+fn a_learner_that_is_gone_does_not_stay_a_member() {
+    let mut world = world(33);
+    while world.group.len() < MAX_VOTERS {
+        add_host(&mut world);
+    }
+    let mut learner = add_host(&mut world);
+    for _ in 0..3 {
+        learner = replace(&mut world, learner);
+    }
+    world.run_until(world.now + 20_000);
+    let members = world.group_members(leader(&world));
+    let learners = members.iter().filter(|(_, role)| *role == Role::Learner);
+    assert_eq!((members.len(), learners.count()), (6, 1), "{members:?}");
+}
