Let leases of all workers lapse in time before a start is checked

Why: the oracle said "runs twice" of a run whose lease had lapsed. A worker's lease was looked at only when the worker got an order or a run's work ended, so a run that ends at its lapse stood there until then.

What: the leases of all workers are checked before the runs of a task are counted. A run within its lease is found as before; all four notices_ tests still find their bugs.

--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -516,6 +516,8 @@
         self.starts += 1;
         let now = self.now;
         let mut violations = Vec::new();
+        // Workers end their runs at the moment at which their leases lapse.
+        self.workers.iter_mut().filter(|worker| worker.up).for_each(|w| w.check_lease(now));
         let runs_twice = self.workers.iter().enumerate().any(|(other, worker)| {
             worker.up && worker.runs.keys().any(|(t, r)| *t == task && (other, *r) != (w, run))
         });
