Check in the histories that hosts in touch find the leader

Why: a host without a disk that knows only hosts that are gone is as useless to callers as a group without a leader, and the histories didn't look.

What: a host without a disk that was neither down, frozen nor cut off for touchMs (3 s), in which nothing happened to the group and the same leader led, must be ready.

--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -378,7 +378,8 @@
         return Err(world.violations.join("\n"));
     }
     pending.observe(world);
-    pending.losses.check_leader(world)
+    pending.losses.check_leader(world)?;
+    pending.losses.check_ready(world)
 }
 
 fn check_jobs_are_over(world: &World) -> Result<(), String> {
@@ -422,7 +423,10 @@
     for seed in first..first + count {
         match run_history(seed, InjectedBug::None, shape(seed)) {
             Ok(count) => starts += count,
-            Err(cause) => failures.push(format!("seed {seed}: {cause}")),
+            Err(cause) => {
+                println!("seed {seed} fails");
+                failures.push(format!("seed {seed}: {cause}"));
+            }
         }
     }
     assert!(failures.is_empty(), "{} of {count} fail:\n{}", failures.len(), failures.join("\n"));
--- a/crates/scheduler/tests/world/losses.rs
+++ b/crates/scheduler/tests/world/losses.rs
@@ -2,7 +2,7 @@
 //! while no more than that is lost.
 
 use super::replacements::Replacements;
-use super::World;
+use super::{World, DISKS, HOSTS};
 use consensus::Role;
 use std::collections::BTreeMap;
 
@@ -37,6 +37,10 @@
     members: Vec<(String, Role)>,
     last_disruption: u64,
     last_leader: u64,
+    /// The leader, and since when.
+    leader: (Option<usize>, u64),
+    /// The state of each host without a disk, and since when.
+    entry_hosts: [(Condition, u64); HOSTS - DISKS],
     /// Until when there may be no leader after too many losses; `u64::MAX` until all are back.
     suspended_until: u64,
 }
@@ -52,6 +56,8 @@
             members: Vec::new(),
             last_disruption: world.now,
             last_leader: world.now,
+            leader: (None, world.now),
+            entry_hosts: Default::default(),
             suspended_until: 0,
         }
     }
@@ -92,6 +98,7 @@
             |i: &usize| (*i, world.hosts[*i].process, world.is_running(*i), is_cut_off(world, *i));
         let conditions: Vec<Condition> = world.group.iter().map(condition).collect();
         self.report_members(world);
+        self.observe_entry_hosts(world);
         if conditions != self.conditions {
             self.conditions = conditions;
             self.last_disruption = now;
@@ -103,6 +110,34 @@
         }
     }
 
+    fn observe_entry_hosts(&mut self, world: &World) {
+        for (i, (condition, since)) in (DISKS..HOSTS).zip(&mut self.entry_hosts) {
+            let running = world.is_running(i);
+            let next = (i, world.hosts[i].process, running, !world.cut.is_empty());
+            if next != *condition {
+                (*condition, *since) = (next, world.now);
+            }
+        }
+    }
+
+    /// Fails if a host without a disk that has been in touch for [`TOUCH_TIME`] with a leader that
+    /// led all the while is not ready.
+    pub(crate) fn check_ready(&self, world: &World) -> Result<(), String> {
+        let (leader, leads_since) = self.leader;
+        for ((i, _, running, is_cut), since) in self.entry_hosts {
+            let since = since.max(leads_since).max(self.last_disruption);
+            let in_touch = running && !is_cut && world.now > since + TOUCH_TIME;
+            let reason = world.hosts[i].node.as_ref().and_then(|node| node.unready_reason());
+            if let (true, Some(leader), Some(reason)) = (in_touch, leader, reason) {
+                let now = world.now;
+                return Err(format!(
+                    "{now} ms: h{i} says {reason}, h{leader} leads since {leads_since} ms"
+                ));
+            }
+        }
+        Ok(())
+    }
+
     fn report_members(&mut self, world: &World) {
         let Some(leader) = world.leader() else { return };
         let members = world.group_members(leader);
@@ -121,7 +156,11 @@
     pub(crate) fn check_leader(&mut self, world: &World) -> Result<(), String> {
         let now = world.now;
         let well = world.group.iter().copied().filter(|i| is_well(world, *i));
-        if world.leader_of(&well.collect::<Vec<_>>()).is_some() {
+        let leader = world.leader_of(&well.collect::<Vec<_>>());
+        if leader != self.leader.0 {
+            self.leader = (leader, now);
+        }
+        if leader.is_some() {
             self.last_leader = now;
         }
         let since = self.last_leader.max(self.last_disruption);
