Take the vote of a host that the settings list no more when its successor comes

What operators saw: a host lost for good was replaced by one of another name, its entry in `hosts` changed and all hosts restarted with the new list. The new host got its votes, and the old one kept its own for ever: four votes in a zone of two voters and a witness, six in the cell's group. The next loss, allowed by the table of losing-hosts.md, left two of four votes, so the zone had no leader and refused its callers. The same for a host that is another zone's witness.

Cause: a member was removed only when a member of the same host name came after it. Nothing compared the votes with the hosts in the settings.

Change: while a group has, or gets by its next change, more votes than the settings list, the leader first removes a voter that isn't listed and has been silent for an election timeout. A silent vote only raises the number of answers that a majority needs, so removing it never costs a loss that the group could bear. Votes are not removed below the number listed, so a leader that still has the old list leaves the successor's vote alone. After an election, a vote that the leader has not heard yet holds back the promotion until it answers or is silent. The membership repair moves to a module of its own.

--- a/crates/host/src/leader_tasks.rs
+++ b/crates/host/src/leader_tasks.rs
@@ -1,15 +1,14 @@
 //! Background tasks of a group's leader: placement, adoption of releases, detection of lost
-//! workers, rolling replacement of service runs, and repair of the group's membership.
+//! workers and rolling replacement of service runs.
 
-use crate::group::{Completion, Group, StateMachine};
+use crate::group::{Completion, StateMachine};
 use crate::home::zone_job;
 use crate::host::Host;
 use crate::message::GroupId;
-use consensus::Role;
 use placement::Plan;
 use state::{Placement, RecordPhase, StoredOutcome, ZoneCommand, ZoneState};
 use std::time::Duration;
-use types::{Fence, HostId, JobClass, JobId, Timestamp, ZoneName};
+use types::{Fence, JobClass, JobId, Timestamp, ZoneName};
 
 /// Maximum number of placements in one plan, and so in one command.
 const MAX_PLACEMENTS_PER_PLAN: usize = 512;
@@ -128,32 +127,6 @@
             self.propose(id, command, Completion::Nothing);
         }
     }
-
-    /// Adds a host's new data directory to the group and removes its old one, one membership change
-    /// at a time.
-    fn repair_membership(&mut self, id: &GroupId) {
-        let now = self.now;
-        let intended: Vec<(HostId, Role)> = match self.cfg.groups.get(id) {
-            Some(members) => members.iter().map(|m| (m.host.clone(), m.role)).collect(),
-            None => return,
-        };
-        let (Some(group), Some(requests)) = (self.groups.get_mut(id), self.join_requests.get(id))
-        else {
-            return;
-        };
-        let raft = &mut group.raft;
-        let change = requests.next_change(
-            raft.config(),
-            &intended,
-            raft.last_index(),
-            |member| raft.matched(member),
-            now,
-        );
-        if let Some(config) = change {
-            // Refused while another change is in progress; the next call tries again.
-            let _ = raft.propose_config(now, config);
-        }
-    }
 }
 
 /// The command that brings a zone from the release it has adopted to `release`.
@@ -225,10 +198,3 @@
     })
     .collect()
 }
-
-impl Group {
-    /// Whether the group's configuration lists this member.
-    pub(crate) fn knows_member(&self, member: types::MemberId) -> bool {
-        self.raft.config().get(member).is_some()
-    }
-}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -50,6 +50,7 @@
 mod pressure;
 mod proxy;
 mod release;
+mod repair;
 mod views;
 
 pub use consensus::InitialMember;
--- a/crates/host/tests/world/mod.rs
+++ b/crates/host/tests/world/mod.rs
@@ -87,6 +87,16 @@
     sent_notes: Vec<(String, ReleaseNote)>,
     sent_requests: Vec<(u64, Option<String>)>,
     wiped: Vec<usize>,
+    /// The settings that hosts read when they start.
+    pub(crate) voters: VoterSettings,
+}
+
+/// Which hosts the settings list as voters.
+pub(crate) struct VoterSettings {
+    /// Number of voters of the cell's group.
+    pub(crate) cell: usize,
+    /// A zone's witness, as a position among the hosts of the next zone.
+    pub(crate) witness: usize,
 }
 
 impl World {
@@ -115,6 +125,7 @@
             sent_notes: Vec::new(),
             sent_requests: Vec::new(),
             wiped: Vec::new(),
+            voters: VoterSettings { cell: 5, witness: 0 },
         };
         (0..HOSTS).for_each(|i| world.start(i));
         world
@@ -149,14 +160,16 @@
             .max_timeout(Duration::from_secs(5))
             .entries_per_snapshot(40)
             .kept_entries(10)
-            .group(GroupId::Cell, (0..5).map(|j| member(j, false)).collect());
+            .group(GroupId::Cell, (0..self.voters.cell).map(|j| member(j, false)).collect());
         for bug in &self.bugs {
             builder = builder.inject_bug(*bug);
         }
         for (z, zone) in ZONES.iter().enumerate() {
-            let witness = (2 * z + 2) % HOSTS;
-            let members =
-                vec![member(2 * z, false), member(2 * z + 1, false), member(witness, true)];
+            let members = vec![
+                member(2 * z, false),
+                member(2 * z + 1, false),
+                member(self.witness_of(z), true),
+            ];
             builder = builder.group(GroupId::Zone(zone.to_string()), members);
         }
         for (j, peer) in self.nodes.iter().enumerate() {
@@ -203,6 +216,12 @@
         if !self.is_repaired() {
             return false;
         }
+        self.erase(i);
+        true
+    }
+
+    /// Kills a host and erases its disk, also if a host wiped earlier is not repaired yet.
+    pub(crate) fn erase(&mut self, i: usize) {
         self.kill(i);
         self.last_id += 1;
         let keep = self.bugs.contains(&InjectedBug::KeepIdentity);
@@ -210,7 +229,43 @@
         self.nodes[i].disk = Disk { member, ..Disk::default() };
         self.oracle.disk_lost(&self.nodes[i].name);
         self.wiped.push(i);
-        true
+    }
+
+    /// Kills a host for good. The settings list a host of another name, with an empty disk, in its
+    /// place; hosts read them when they start.
+    pub(crate) fn replace(&mut self, i: usize, name: &str) {
+        self.erase(i);
+        self.nodes[i].name = name.to_string();
+    }
+
+    pub(crate) fn restart(&mut self, i: usize) {
+        self.kill(i);
+        self.start(i);
+    }
+
+    /// All groups of the cell.
+    pub(crate) fn groups() -> impl Iterator<Item = GroupId> {
+        let zones = ZONES.iter().map(|zone| GroupId::Zone(zone.to_string()));
+        std::iter::once(GroupId::Cell).chain(zones)
+    }
+
+    /// The first group in which a host has no vote that the settings list, has a vote that they do
+    /// not list, or has two, as the group's leader sees it.
+    pub(crate) fn wrong_votes(&self) -> Option<String> {
+        World::groups().find_map(|group| {
+            let Some(status) = self.leader_status(&group) else {
+                return Some(format!("{group} has no leader"));
+            };
+            let voting = status.members.iter().filter(|member| member.role != "Learner");
+            let mut votes: Vec<&HostId> = voting.map(|member| &member.host).collect();
+            votes.sort();
+            let mut listed: Vec<&HostId> = (0..HOSTS)
+                .filter(|i| self.is_intended(&group, *i))
+                .map(|i| &self.nodes[i].name)
+                .collect();
+            listed.sort();
+            (votes != listed).then(|| format!("{group}: votes {votes:?}, settings {listed:?}"))
+        })
     }
 
     /// Whether the host wiped last is a caught-up member of all its groups again, and no learner,
@@ -218,10 +273,8 @@
     pub(crate) fn is_repaired(&self) -> bool {
         let Some(last) = self.wiped.last() else { return true };
         let (name, id) = (&self.nodes[*last].name, self.nodes[*last].disk.member);
-        let groups = std::iter::once(GroupId::Cell)
-            .chain(ZONES.iter().map(|zone| GroupId::Zone(zone.to_string())));
         let mut repaired = true;
-        for group in groups {
+        for group in World::groups() {
             let Some(status) = self.leader_status(&group) else { return false };
             let mine: Vec<_> = status.members.iter().filter(|m| m.host == *name).collect();
             let expected = self.is_intended(&group, *last);
@@ -234,14 +287,18 @@
 
     fn is_intended(&self, group: &GroupId, i: usize) -> bool {
         match group {
-            GroupId::Cell => i < 5,
+            GroupId::Cell => i < self.voters.cell,
             GroupId::Zone(zone) => {
                 let z = ZONES.iter().position(|name| name == zone).unwrap();
-                i / 2 == z || i == (2 * z + 2) % HOSTS
+                i / 2 == z || i == self.witness_of(z)
             }
         }
     }
 
+    fn witness_of(&self, zone: usize) -> usize {
+        (2 * zone + 2 + self.voters.witness) % HOSTS
+    }
+
     /// The host that leads a zone's group.
     pub(crate) fn zone_leader(&self, zone: usize) -> Option<usize> {
         let group = GroupId::Zone(ZONES[zone].to_string());
