End the votes of running hosts that the settings list no more

What operators saw: when the list of hosts changed so that other hosts vote (a zone's witness moved, the cell's group got fewer voters), the listed hosts got votes and the ones before kept theirs for ever. A cell's group of three listed voters had six votes, and stopped for good when the three withdrawn hosts and one other were gone.

Change: once every listed host has a vote and answers, the leader makes voters that aren't listed learners, one after another. Learners and not nothing: their hosts still hold the log, and without a leader would show the group as led by NOBODY and ask to join for ever. A leader that isn't listed is the last, and transfers its leadership first. A vote that answers ends only after the new one counts, so that one host may be lost at any moment of the move.

--- a/crates/host/src/repair.rs
+++ b/crates/host/src/repair.rs
@@ -23,13 +23,23 @@
         };
         let silence = self.cfg.tuning.election_timeout;
         let repair = Repair { raft: &group.raft, listed: &listed, silence, now };
-        if let Some(config) = repair.next_change(requests) {
-            // Refused while another change is in progress; the next call tries again.
-            let _ = group.raft.propose_config(now, config);
+        match repair.next_step(requests) {
+            Some(Step::Change(config)) => {
+                // Refused while another change is in progress; the next call tries again.
+                let _ = group.raft.propose_config(now, config);
+            }
+            Some(Step::TransferLeadership(to)) => group.raft.transfer_leadership(now, to),
+            None => {}
         }
     }
 }
 
+/// What a leader does next for its group's membership.
+enum Step {
+    Change(Config),
+    TransferLeadership(MemberId),
+}
+
 /// A leader's view of its group's membership, and of what the settings want.
 struct Repair<'a> {
     raft: &'a Raft,
@@ -41,7 +51,7 @@
 }
 
 impl Repair<'_> {
-    fn next_change(&self, requests: &JoinRequests) -> Option<Config> {
+    fn next_step(&self, requests: &JoinRequests) -> Option<Step> {
         let config = self.raft.config();
         let change = requests.next_change(
             config,
@@ -52,22 +62,48 @@
         );
         let votes = change.as_ref().unwrap_or(config).voters().count();
         if votes > self.listed.len() {
-            self.without_unlisted_vote(change)
+            self.end_unlisted_vote(change)
         } else {
-            change
+            change.map(Step::Change)
         }
     }
 
-    /// The next change while the group has, or by `change` gets, more votes than the settings list.
+    /// The next step while the group has, or by `change` gets, more votes than the settings list.
     /// A silent unlisted voter is removed before another gets a vote: it could only raise the number
-    /// of answers that a majority needs.
-    fn without_unlisted_vote(&self, change: Option<Config>) -> Option<Config> {
-        let config = self.raft.config();
+    /// of answers that a majority needs. One that answers keeps its vote until all listed ones
+    /// answer too.
+    fn end_unlisted_vote(&self, change: Option<Config>) -> Option<Step> {
         if let Some(silent) = self.unlisted_voters().find(|m| self.is_silent(m.id)) {
-            return Some(config.without(silent.id));
+            return Some(Step::Change(self.raft.config().without(silent.id)));
         }
         // A voter that this leader has not heard yet may be gone. It will answer or become silent.
-        change.filter(|_| self.unlisted_voters().all(|m| self.was_heard(m.id)))
+        if !self.unlisted_voters().all(|m| self.was_heard(m.id)) {
+            return None;
+        }
+        match change {
+            Some(change) => Some(Step::Change(change)),
+            None if self.all_listed_vote() => self.demote_unlisted_voter(),
+            None => None,
+        }
+    }
+
+    /// Makes an unlisted voter a learner, so that its host still knows the group's leader. The
+    /// leader itself is the last, and first lets another lead.
+    fn demote_unlisted_voter(&self) -> Option<Step> {
+        let Some(other) = self.unlisted_voters().find(|m| m.id != self.raft.id()) else {
+            return self.raft.transfer_target().map(Step::TransferLeadership);
+        };
+        let learner = Member { role: Role::Learner, ..other.clone() };
+        Some(Step::Change(self.raft.config().with(learner)))
+    }
+
+    /// Whether each listed host has a vote and answers.
+    fn all_listed_vote(&self) -> bool {
+        let config = self.raft.config();
+        self.listed.iter().all(|(host, _)| {
+            let mut members = config.members().iter().filter(|m| m.host == *host);
+            members.any(|m| config.votes(m.id) && self.answers(m.id))
+        })
     }
 
     fn unlisted_voters(&self) -> impl Iterator<Item = &Member> {
@@ -83,6 +119,10 @@
         self.raft.last_response(member).is_some_and(|at| self.now >= at + self.silence)
     }
 
+    fn answers(&self, member: MemberId) -> bool {
+        self.was_heard(member) && !self.is_silent(member)
+    }
+
     /// Whether the member has answered this leader.
     fn was_heard(&self, member: MemberId) -> bool {
         member == self.raft.id() || self.raft.matched(member).is_some_and(|matched| matched > 0)
--- a/crates/host/tests/replaced_hosts.rs
+++ b/crates/host/tests/replaced_hosts.rs
@@ -3,8 +3,9 @@
 
 mod world;
 
+use host::GroupId;
 use std::time::Duration;
-use types::JobClass;
+use types::{JobClass, ReleaseNote, TeamQuota};
 use world::{job, World, HOSTS, ZONES};
 
 /// Time after which a host with a new disk has its votes, and a further host may be lost.
@@ -12,15 +13,17 @@
 /// Time within which a group that lost a host accepts work again.
 const FAILOVER_TIME: Duration = Duration::from_secs(5);
 
+const ALL: [usize; HOSTS] = [0, 1, 2, 3, 4, 5];
+
 fn seconds(n: u64) -> Duration {
     Duration::from_secs(n)
 }
 
-/// Restarts all running hosts one after another, so that they read the settings again.
-fn restart_in_turn(w: &mut World) {
-    for host in 0..HOSTS {
-        if w.status(host).is_some() {
-            w.restart(host);
+/// Restarts those of the hosts that run one after another, so that they read the settings again.
+fn restart_in_turn(w: &mut World, hosts: &[usize]) {
+    for host in hosts {
+        if w.status(*host).is_some() {
+            w.restart(*host);
             w.run(seconds(3));
         }
     }
@@ -38,12 +41,30 @@
     w.oracle.accepted_jobs().count() > before
 }
 
+/// Applies a release note through a host, and returns whether it is accepted in time.
+fn accepts_a_release(w: &mut World, host: usize) -> bool {
+    let base = w.release_version(host).unwrap();
+    let quota = TeamQuota { team: "t".into(), weight: 2.0, limit: 1.0 };
+    let note = ReleaseNote { base, quotas: vec![quota], ..ReleaseNote::default() };
+    w.apply_note(host, format!("after{base}"), note);
+    w.run(FAILOVER_TIME);
+    w.release_version(host) > Some(base)
+}
+
+/// A group at a host that hears of no leader, if there is one.
+fn leaderless_group(w: &World) -> Option<String> {
+    let statuses = (0..HOSTS).filter_map(|host| w.status(host));
+    let mut groups = statuses.flat_map(|s| s.groups.into_iter().map(move |g| (s.host.clone(), g)));
+    let found = groups.find(|(_, group)| group.leader.is_none());
+    found.map(|(host, group)| format!("{host} knows no leader of {}", group.group))
+}
+
 /// A voter of its zone is replaced by a host of another name, then the other voter is lost.
 #[test]
 fn the_vote_of_a_host_replaced_under_another_name_ends() {
     let mut w = World::started(&[]);
     w.replace(1, "a2");
-    restart_in_turn(&mut w);
+    restart_in_turn(&mut w, &ALL);
     w.start(1);
     w.run(JOIN_TIME);
     assert_eq!(w.wrong_votes(), None);
@@ -59,7 +80,7 @@
 fn the_vote_of_a_witness_replaced_under_another_name_ends() {
     let mut w = World::started(&[]);
     w.replace(2, "b2");
-    restart_in_turn(&mut w);
+    restart_in_turn(&mut w, &ALL);
     w.start(2);
     w.run(JOIN_TIME);
     assert_eq!(w.wrong_votes(), None);
@@ -69,3 +90,84 @@
     w.settle();
     assert_eq!(w.oracle.violation, None);
 }
+
+/// The witnesses move to other hosts. A cut-off zone has two votes, which must be enough.
+#[test]
+fn the_vote_of_a_witness_that_moves_ends() {
+    let mut w = World::started(&[]);
+    w.voters.witness = 1;
+    restart_in_turn(&mut w, &ALL);
+    w.run(JOIN_TIME);
+    assert_eq!(w.wrong_votes(), None);
+    assert_eq!(leaderless_group(&w), None);
+    w.cut_zone(0);
+    w.run(FAILOVER_TIME);
+    assert!(accepts_a_job(&mut w, 0, 0), "zone a takes no job while it is cut off");
+    w.settle();
+    assert_eq!(w.oracle.violation, None);
+}
+
+/// The settings list three of the five voters. The other two may go, and then one of the three.
+#[test]
+fn the_votes_of_hosts_that_the_settings_list_no_more_end() {
+    let mut w = World::started(&[]);
+    w.voters.cell = vec![0, 2, 5];
+    restart_in_turn(&mut w, &ALL);
+    w.run(JOIN_TIME);
+    assert_eq!(w.wrong_votes(), None);
+    assert_eq!(leaderless_group(&w), None);
+    for lost in [1, 3, 4, 0] {
+        w.kill(lost);
+    }
+    w.run(FAILOVER_TIME);
+    assert!(accepts_a_release(&mut w, 2), "the cell takes no release after the next loss");
+    w.settle();
+    assert_eq!(w.oracle.violation, None);
+}
+
+/// The leader itself loses its vote by the settings, which it has read before the others.
+#[test]
+fn a_leader_that_the_settings_list_no_more_gives_up_its_vote() {
+    let mut w = World::started(&[]);
+    let withdrawn = 4;
+    w.voters.cell = vec![0, 1, 2];
+    w.restart(withdrawn);
+    w.run(seconds(3));
+    (0..withdrawn).for_each(|host| w.drain(host));
+    let mut leads_within = |time: u64, expected: bool| {
+        (0..time * 50).any(|_| {
+            w.run(Duration::from_millis(20));
+            w.leader_of(&GroupId::Cell).is_some_and(|leader| (leader == withdrawn) == expected)
+        })
+    };
+    assert!(leads_within(4, true), "host {withdrawn} never led the cell's group");
+    assert!(leads_within(1, false), "host {withdrawn} goes on to lead the cell's group");
+    restart_in_turn(&mut w, &ALL);
+    w.run(JOIN_TIME);
+    assert_eq!(w.wrong_votes(), None);
+    assert_eq!(leaderless_group(&w), None);
+    w.settle();
+    assert_eq!(w.oracle.violation, None);
+}
+
+/// While a zone's witness moves, any one host may be lost: the old vote ends only after the new one
+/// counts.
+#[test]
+fn a_host_lost_while_a_vote_moves_stops_nothing() {
+    for lost in 0..4 {
+        for after in (0..2_000).step_by(100) {
+            let mut w = World::started(&[]);
+            w.voters.witness = 1;
+            restart_in_turn(&mut w, &[2, 3, 4, 5]);
+            w.restart(0);
+            w.restart(1);
+            w.run(Duration::from_millis(after));
+            w.kill(lost);
+            w.run(FAILOVER_TIME);
+            let host = if lost == 0 { 1 } else { 0 };
+            let accepts = accepts_a_job(&mut w, host, 0);
+            assert!(accepts, "zone a takes no job after host {lost} was lost at {after} ms");
+            assert_eq!(w.oracle.violation, None);
+        }
+    }
+}
--- a/crates/host/tests/world/mod.rs
+++ b/crates/host/tests/world/mod.rs
@@ -93,8 +93,8 @@
 
 /// Which hosts the settings list as voters.
 pub(crate) struct VoterSettings {
-    /// Number of voters of the cell's group.
-    pub(crate) cell: usize,
+    /// Voters of the cell's group.
+    pub(crate) cell: Vec<usize>,
     /// A zone's witness, as a position among the hosts of the next zone.
     pub(crate) witness: usize,
 }
@@ -125,7 +125,7 @@
             sent_notes: Vec::new(),
             sent_requests: Vec::new(),
             wiped: Vec::new(),
-            voters: VoterSettings { cell: 5, witness: 0 },
+            voters: VoterSettings { cell: (0..5).collect(), witness: 0 },
         };
         (0..HOSTS).for_each(|i| world.start(i));
         world
@@ -160,7 +160,7 @@
             .max_timeout(Duration::from_secs(5))
             .entries_per_snapshot(40)
             .kept_entries(10)
-            .group(GroupId::Cell, (0..self.voters.cell).map(|j| member(j, false)).collect());
+            .group(GroupId::Cell, self.voters.cell.iter().map(|j| member(*j, false)).collect());
         for bug in &self.bugs {
             builder = builder.inject_bug(*bug);
         }
@@ -287,7 +287,7 @@
 
     fn is_intended(&self, group: &GroupId, i: usize) -> bool {
         match group {
-            GroupId::Cell => i < self.voters.cell,
+            GroupId::Cell => self.voters.cell.contains(&i),
             GroupId::Zone(zone) => {
                 let z = ZONES.iter().position(|name| name == zone).unwrap();
                 i / 2 == z || i == self.witness_of(z)
@@ -299,10 +299,14 @@
         (2 * zone + 2 + self.voters.witness) % HOSTS
     }
 
+    /// The host that leads a group.
+    pub(crate) fn leader_of(&self, group: &GroupId) -> Option<usize> {
+        self.nodes.iter().position(|n| n.host.as_ref().is_some_and(|h| h.leads(group)))
+    }
+
     /// The host that leads a zone's group.
     pub(crate) fn zone_leader(&self, zone: usize) -> Option<usize> {
-        let group = GroupId::Zone(ZONES[zone].to_string());
-        self.nodes.iter().position(|n| n.host.as_ref().is_some_and(|h| h.leads(&group)))
+        self.leader_of(&GroupId::Zone(ZONES[zone].to_string()))
     }
 
     /// The replicated state of a zone, read at its leader.
