Test that old votes end when the joining of a new host is interrupted

A host is lost and comes back with an empty disk, under its own name or another; while it joins, the leaders change, it restarts, or it loses its disk again, at 15 moments each. Afterwards the votes are those of the settings, and the zone takes work when its other voter is lost. A further test looks every 10 ms at the votes of a join that nothing interrupts: a dead vote and its successor's never count together.

They can fail: each interrupted case also runs with the new injected bug `KeepOldVotes`, which must make it fail.

--- a/crates/host/src/config.rs
+++ b/crates/host/src/config.rs
@@ -29,6 +29,8 @@
     GrantSlotsAtOnce,
     /// A host whose data directory was wiped votes under its old member identity.
     KeepIdentity,
+    /// A vote is never taken from a member, not even from one that a new member replaces.
+    KeepOldVotes,
     /// A bug in the replicated log.
     Log(consensus::InjectedBug),
     /// A bug in the replicated state.
--- a/crates/host/src/repair.rs
+++ b/crates/host/src/repair.rs
@@ -2,6 +2,7 @@
 //! that vote. New data directories of listed hosts join, and old ones and hosts that are no longer
 //! listed lose their votes.
 
+use crate::config::InjectedBug;
 use crate::group::Group;
 use crate::host::Host;
 use crate::message::GroupId;
@@ -22,8 +23,11 @@
             return;
         };
         let silence = self.cfg.tuning.election_timeout;
+        let keep_votes = self.cfg.has_bug(InjectedBug::KeepOldVotes);
         let repair = Repair { raft: &group.raft, listed: &listed, silence, now };
         match repair.next_step(requests) {
+            Some(Step::Change(config))
+                if keep_votes && takes_a_vote(group.raft.config(), &config) => {}
             Some(Step::Change(config)) => {
                 // Refused while another change is in progress; the next call tries again.
                 let _ = group.raft.propose_config(now, config);
@@ -129,6 +133,10 @@
     }
 }
 
+fn takes_a_vote(config: &Config, next: &Config) -> bool {
+    config.voters().any(|id| !next.votes(id))
+}
+
 impl Group {
     /// Whether the group's configuration lists this member.
     pub(crate) fn knows_member(&self, member: types::MemberId) -> bool {
--- a/crates/host/tests/replaced_hosts.rs
+++ b/crates/host/tests/replaced_hosts.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use host::GroupId;
+use host::{GroupId, InjectedBug};
 use std::time::Duration;
 use types::{JobClass, ReleaseNote, TeamQuota};
 use world::{job, World, HOSTS, ZONES};
@@ -91,6 +91,22 @@
     assert_eq!(w.oracle.violation, None);
 }
 
+/// With one of four votes dead, two hosts of a zone of three votes would be no majority any more.
+#[test]
+fn the_vote_of_a_lost_host_never_counts_beside_that_of_its_successor() {
+    for name in ["a1", "a2"] {
+        let mut w = World::started(&[]);
+        w.replace(1, name);
+        restart_in_turn(&mut w, &ALL);
+        w.start(1);
+        for millis in (0..JOIN_TIME.as_millis()).step_by(10) {
+            w.run(Duration::from_millis(10));
+            assert_eq!(w.surplus_vote(), None, "{millis} ms after {name} started");
+        }
+        assert_eq!(w.wrong_votes(), None);
+    }
+}
+
 /// The witnesses move to other hosts. A cut-off zone has two votes, which must be enough.
 #[test]
 fn the_vote_of_a_witness_that_moves_ends() {
@@ -171,3 +187,106 @@
         }
     }
 }
+
+/// What happens while a host with a new disk joins.
+#[derive(Clone, Copy, Debug)]
+enum Interruption {
+    /// The cell's leader is drained, and the zone's leader restarts.
+    LeadersChange,
+    /// The joining host is down for some seconds and keeps its disk.
+    JoinerRestarts,
+    /// The joining host loses its disk again.
+    JoinerIsWipedAgain,
+}
+
+impl Interruption {
+    fn apply(self, w: &mut World, joining: usize) {
+        match self {
+            Interruption::LeadersChange => {
+                if let Some(leader) = w.leader_of(&GroupId::Cell) {
+                    w.drain(leader);
+                }
+                if let Some(leader) = w.zone_leader(0) {
+                    w.kill(leader);
+                    w.run(seconds(1));
+                    w.start(leader);
+                }
+                w.run(FAILOVER_TIME);
+            }
+            Interruption::JoinerRestarts => {
+                w.kill(joining);
+                w.run(seconds(3));
+                w.start(joining);
+            }
+            Interruption::JoinerIsWipedAgain => {
+                w.erase(joining);
+                w.run(seconds(2));
+                w.start(joining);
+            }
+        }
+    }
+}
+
+/// A host joins in the place of a lost one, and its joining is interrupted at any moment. Returns
+/// what is wrong with the votes afterwards, or with the zone after its other voter is lost too.
+fn join_interrupted(
+    bugs: &[InjectedBug],
+    name: &str,
+    interruption: Interruption,
+    after: u64,
+) -> Option<String> {
+    let mut w = World::started(bugs);
+    w.replace(1, name);
+    restart_in_turn(&mut w, &ALL);
+    w.start(1);
+    w.run(Duration::from_millis(after));
+    interruption.apply(&mut w, 1);
+    w.run(JOIN_TIME);
+    if let Some(wrong) = w.wrong_votes() {
+        return Some(wrong);
+    }
+    if !w.is_repaired() {
+        return Some("the new disk is not the one that votes".to_string());
+    }
+    w.kill(0);
+    w.run(FAILOVER_TIME);
+    if !accepts_a_job(&mut w, 1, 0) {
+        return Some("zone a takes no job after the next loss".to_string());
+    }
+    w.oracle.violation
+}
+
+/// Interrupts the joining of a host at many moments. The first fault found, or none.
+fn joins_interrupted(bugs: &[InjectedBug], name: &str, kind: Interruption) -> Option<String> {
+    (0..1_500).step_by(100).find_map(|after| {
+        let fault = join_interrupted(bugs, name, kind, after)?;
+        Some(format!("{kind:?} after {after} ms: {fault}"))
+    })
+}
+
+macro_rules! old_votes_end {
+    ($($name:ident: $host:expr, $kind:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(joins_interrupted(&[], $host, $kind), None);
+            let fault = joins_interrupted(&[InjectedBug::KeepOldVotes], $host, $kind);
+            println!("with old votes kept: {fault:?}");
+            assert!(fault.is_some(), "the case passes although old votes are kept");
+        }
+    )*};
+}
+
+old_votes_end! {
+    the_old_vote_of_a_wiped_host_ends_although_leaders_change:
+        "a1", Interruption::LeadersChange;
+    the_old_vote_of_a_wiped_host_ends_although_it_restarts:
+        "a1", Interruption::JoinerRestarts;
+    the_old_vote_of_a_wiped_host_ends_although_it_is_wiped_again:
+        "a1", Interruption::JoinerIsWipedAgain;
+    the_vote_of_a_replaced_host_ends_although_leaders_change:
+        "a2", Interruption::LeadersChange;
+    the_vote_of_a_replaced_host_ends_although_the_new_one_restarts:
+        "a2", Interruption::JoinerRestarts;
+    the_vote_of_a_replaced_host_ends_although_the_new_one_is_wiped:
+        "a2", Interruption::JoinerIsWipedAgain;
+}
--- a/crates/host/tests/world/mod.rs
+++ b/crates/host/tests/world/mod.rs
@@ -299,6 +299,16 @@
         (2 * zone + 2 + self.voters.witness) % HOSTS
     }
 
+    /// A group that has more votes than the settings list, as its leader sees it, if there is one.
+    pub(crate) fn surplus_vote(&self) -> Option<String> {
+        World::groups().find_map(|group| {
+            let status = self.leader_status(&group)?;
+            let votes = status.members.iter().filter(|member| member.role != "Learner").count();
+            let listed = (0..HOSTS).filter(|i| self.is_intended(&group, *i)).count();
+            (votes > listed).then(|| format!("{group}: {votes} votes, {listed} in the settings"))
+        })
+    }
+
     /// The host that leads a group.
     pub(crate) fn leader_of(&self, group: &GroupId) -> Option<usize> {
         self.nodes.iter().position(|n| n.host.as_ref().is_some_and(|h| h.leads(group)))
