End an unlisted vote also while a listed host is down, if it helps nobody

What operators saw: with a voter of a zone down while the witnesses moved to other hosts, the former witness kept its vote as long as that voter was away: four votes with one dead, so that a further loss stopped the zone even if it was the former witness, whose vote the settings don't ask for.

Cause: an unlisted voter that answers kept its vote until every listed host answered. With an even number of votes it helps nobody: the group bears no more losses than with one vote fewer.

Change: with an even number of votes the unlisted one ends at once. With an odd number it still waits for all listed hosts, since ending it would make the group bear one loss fewer.

--- a/crates/host/src/repair.rs
+++ b/crates/host/src/repair.rs
@@ -74,8 +74,8 @@
 
     /// The next step while the group has, or by `change` gets, more votes than the settings list.
     /// A silent unlisted voter is removed before another gets a vote: it could only raise the number
-    /// of answers that a majority needs. One that answers keeps its vote until all listed ones
-    /// answer too.
+    /// of answers that a majority needs. One that answers keeps its vote while the group bears
+    /// another loss by it.
     fn end_unlisted_vote(&self, change: Option<Config>) -> Option<Step> {
         if let Some(silent) = self.unlisted_voters().find(|m| self.is_silent(m.id)) {
             return Some(Step::Change(self.raft.config().without(silent.id)));
@@ -84,9 +84,13 @@
         if !self.unlisted_voters().all(|m| self.was_heard(m.id)) {
             return None;
         }
+        let votes = self.raft.config().voters().count();
         match change {
             Some(change) => Some(Step::Change(change)),
-            None if self.all_listed_vote() => self.demote_unlisted_voter(),
+            // An even number of votes bears no more losses than one vote fewer.
+            None if votes.is_multiple_of(2) || self.all_listed_vote() => {
+                self.demote_unlisted_voter()
+            }
             None => None,
         }
     }
--- a/crates/host/tests/replaced_hosts.rs
+++ b/crates/host/tests/replaced_hosts.rs
@@ -123,6 +123,22 @@
     assert_eq!(w.oracle.violation, None);
 }
 
+/// A voter is down while the witnesses move. The former witness of its zone may then be lost.
+#[test]
+fn the_vote_of_a_witness_that_moves_ends_although_a_voter_is_down() {
+    let mut w = World::started(&[]);
+    w.voters.witness = 1;
+    w.kill(2);
+    restart_in_turn(&mut w, &ALL);
+    w.run(JOIN_TIME);
+    assert_eq!(w.wrong_votes(), None);
+    w.kill(4);
+    w.run(FAILOVER_TIME);
+    assert!(accepts_a_job(&mut w, 3, 1), "zone b takes no job without its former witness");
+    w.settle();
+    assert_eq!(w.oracle.violation, None);
+}
+
 /// The settings list three of the five voters. The other two may go, and then one of the three.
 #[test]
 fn the_votes_of_hosts_that_the_settings_list_no_more_end() {
