Let a host that was down while its vote ended follow its group as a learner

What operators saw, since the votes of hosts that the settings list no more end: a former witness that was down at that time came back with the group's log, showed the group as led by NOBODY for ever, and asked every second to join.

Cause: join requests of hosts that aren't listed were not answered.

Change: such a host gets a learner's place when it asks, and no vote, as those whose vote ends while they run.

Evidence, on the commit before: a_host_that_was_down_while_its_vote_ended_finds_the_leader fails with `left: Some("b0 knows no leader of zone-a")`. It passes now.

--- a/crates/host/src/repair.rs
+++ b/crates/host/src/repair.rs
@@ -59,7 +59,7 @@
         let config = self.raft.config();
         let change = requests.next_change(
             config,
-            self.listed,
+            &self.may_join(requests),
             self.raft.last_index(),
             |member| self.raft.matched(member),
             self.now,
@@ -72,6 +72,14 @@
         }
     }
 
+    /// The hosts that may join, with their roles. A host that is not listed and holds the group's log
+    /// becomes a learner, so that it knows the group's leader.
+    fn may_join(&self, requests: &JoinRequests) -> Vec<(HostId, Role)> {
+        let asked = requests.hosts().into_iter().filter(|host| !self.is_listed(host));
+        let learners = asked.map(|host| (host, Role::Learner));
+        self.listed.iter().cloned().chain(learners).collect()
+    }
+
     /// The next step while the group has, or by `change` gets, more votes than the settings list.
     /// A silent unlisted voter is removed before another gets a vote: it could only raise the number
     /// of answers that a majority needs. One that answers keeps its vote while the group bears
--- a/crates/host/tests/replaced_hosts.rs
+++ b/crates/host/tests/replaced_hosts.rs
@@ -139,6 +139,21 @@
     assert_eq!(w.oracle.violation, None);
 }
 
+/// A former witness is down while its vote ends, and holds the group's log when it comes back.
+#[test]
+fn a_host_that_was_down_while_its_vote_ended_finds_the_leader() {
+    let mut w = World::started(&[]);
+    w.voters.witness = 1;
+    w.kill(2);
+    restart_in_turn(&mut w, &ALL);
+    w.run(JOIN_TIME);
+    assert_eq!(w.wrong_votes(), None);
+    w.start(2);
+    w.run(JOIN_TIME);
+    assert_eq!(leaderless_group(&w), None);
+    assert_eq!(w.wrong_votes(), None);
+}
+
 /// The settings list three of the five voters. The other two may go, and then one of the three.
 #[test]
 fn the_votes_of_hosts_that_the_settings_list_no_more_end() {
