Let a host that the settings list no more vote until its vote ends

What operators saw: a zone of two hosts lost one, which was withdrawn from `hosts`. After the witness was restarted with the new list, in which the zone with one host has no witness, the zone had no leader for ever, and its accepted jobs could not be reached, although two of the three voters were up with their logs.

Cause: the daemon opened only the groups of which the settings make its host a member. A host that left a list by a restart went silent in that group at once, though its vote still counted and no other had taken its place.

Change: the daemon also opens the groups of which its data directory has a store. The group's leader then ends the vote as it does for other unlisted voters.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -3,6 +3,7 @@
 use host::{GroupId, HostConfig, HostConfigBuilder, InitialMember};
 use placement::Policy;
 use settings::{cell_voters, zone_voters, Settings, Voter};
+use storage::DataDir;
 
 /// Builds the host's configuration, with the initial members of all groups.
 pub(crate) fn host_config(settings: &Settings) -> HostConfig {
@@ -37,12 +38,13 @@
     zones.into_iter().map(zone_group).chain([cell]).collect()
 }
 
-/// Returns the groups of which the settings make this host an initial member.
-pub(crate) fn own_groups(settings: &Settings) -> Vec<GroupId> {
-    let includes_host = |voters: &[Voter]| voters.iter().any(|voter| voter.host == settings.host);
+/// Returns the groups of which the settings make this host an initial member, and those of which
+/// its data directory has a store: a host that is no longer listed may still have a vote.
+pub(crate) fn own_groups(settings: &Settings, data_dir: &DataDir) -> Vec<GroupId> {
+    let is_listed = |voters: &[Voter]| voters.iter().any(|voter| voter.host == settings.host);
     groups(settings)
         .into_iter()
-        .filter(|(_, voters)| includes_host(voters))
+        .filter(|(id, voters)| is_listed(voters) || data_dir.has_group(&id.to_string()))
         .map(|(id, _)| id)
         .collect()
 }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -177,7 +177,7 @@
         let data_dir = DataDir::open(path, &settings.host, &settings.zone, start.seed)?;
         start.member = data_dir.identity().member;
         start.release = data_dir.read_release()?.unwrap_or_else(Release::default);
-        for id in own_groups(settings) {
+        for id in own_groups(settings, &data_dir) {
             let (store, stored) = data_dir.open_group(&id.to_string())?;
             self.stores.insert(id.clone(), store);
             if let Some(restored) = stored {
--- a/crates/storage/src/data_dir.rs
+++ b/crates/storage/src/data_dir.rs
@@ -75,6 +75,19 @@
         replace_file(&self.path.join(RELEASE_FILE), &frame::encode(release))
     }
 
+    /// Whether the directory has a store of the group `name`.
+    ///
+    /// ```
+    /// # let tmp = tempfile::tempdir().unwrap();
+    /// let dir = storage::DataDir::open(tmp.path(), "a-1", "zone-a", 42).unwrap();
+    /// assert!(!dir.has_group("cell"));
+    /// dir.open_group("cell").unwrap();
+    /// assert!(dir.has_group("cell"));
+    /// ```
+    pub fn has_group(&self, name: &str) -> bool {
+        self.path.join(name).exists()
+    }
+
     /// Opens or creates the store of the group `name`.
     pub fn open_group(&self, name: &str) -> Result<Opened, Error> {
         GroupStore::open(&self.path.join(name))
