--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -96,6 +96,7 @@
         store.require_sync();
         store.sync()?;
         entries.retain(|e| e.index > snapshot.index);
+        drop_replaced(&mut entries, &snapshot);
         check_contiguous(path, &snapshot, &entries)?;
         Ok((store, Some(Restored { hard_state, snapshot, entries })))
     }
@@ -252,6 +253,14 @@
     entries.extend(new);
 }
 
+/// Drops entries that a snapshot from the leader has replaced: terms never decrease along a log. They
+/// are there if the process ended between the write of the snapshot and that of the new segment.
+fn drop_replaced(entries: &mut Vec<Entry>, snapshot: &Snapshot) {
+    if entries.first().is_some_and(|first| first.term < snapshot.term) {
+        entries.clear();
+    }
+}
+
 /// Checks that `entries` follow the snapshot without gaps.
 fn check_contiguous(path: &Path, snapshot: &Snapshot, entries: &[Entry]) -> Result<(), Error> {
     let expected = snapshot.index + 1..;
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -247,3 +247,22 @@
         }
     }
 }
+
+/// Guards against entries of an older term behind a snapshot from the leader: the disk fails after
+/// the snapshot was replaced and before the old log is gone. The old entries conflict with it.
+#[test]
+fn no_old_entries_stand_behind_a_snapshot_from_the_leader() {
+    let tmp = tempfile::tempdir().unwrap();
+    let dir = open(tmp.path());
+    let mut store = formed(&dir);
+    write(&mut store, &entries(1..=6, 1));
+    let mut installed = snapshot_at(4, true);
+    installed.snapshot.as_mut().unwrap().term = 3;
+    installed.hard_state = Some(HardState { term: 3, vote: None, commit: 4 });
+    store.set_sync_fn(Box::new(|_| Err(io::Error::from(io::ErrorKind::StorageFull))));
+    assert!(store.append(&installed).is_err(), "the disk is full: the test is meaningless");
+    drop(store);
+    let found = reopen(&dir);
+    assert_eq!(found.snapshot.index, 4);
+    assert_eq!(indexes(&found), [], "entries of term 1 behind a snapshot of term 3");
+}
