Sync the data directory after the group's directory was created in it

A power loss may drop a name whose directory was not synced, and with cell/ the whole group of a host. Its files were synced, the directory that holds cell/ was not.

No test: a test can't see what a power loss would drop. All tests of storage pass.

--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -61,7 +61,10 @@
     /// Opens the store at `path`, or creates it. Replays the existing segments and starts a new
     /// one, so that no frame is appended to a segment that an earlier process wrote.
     pub(crate) fn open(path: &Path) -> Result<Opened, Error> {
-        fs::create_dir_all(path).map_err(Error::io(path, "creating the group's directory"))?;
+        if !path.exists() {
+            fs::create_dir_all(path).map_err(Error::io(path, "creating the group's directory"))?;
+            sync_dir(path.parent().expect("the group's directory is in the data directory"))?;
+        }
         let snapshot = snapshot::read(&path.join(SNAPSHOT_FILE))?;
         let numbers = segment_numbers(path)?;
         let mut hard_state = HardState::default();
