Announce a new member to all hosts, as the leader may be listed no more

What operators saw: after a change of the list, a newly listed host said for ever that the cell's group `WAITS for its members to come for the first time`, and a host listed no more kept its vote. It was the leader, so that no other leader could end its vote.

Cause: a host that holds nothing of a group announced itself to the hosts that the settings list as the group's members, and so did a host that hears of no leader. A leader that isn't listed never heard them, and it gives up its vote only after the listed hosts have theirs.

Change: both go to all entry hosts. A group is still formed by its listed members only.

--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -282,9 +282,8 @@
                 continue;
             }
             forming.next_announcement = now + ANNOUNCE_INTERVAL;
-            for host in forming.other_hosts(&self.cfg.host) {
-                self.send(&host, PeerMessage::EmptyStore(id.clone(), self.member));
-            }
+            // The leader may be a host that the settings no longer list as a member.
+            self.send_all(&PeerMessage::EmptyStore(id, self.member));
         }
     }
 
@@ -310,17 +309,13 @@
         }
     }
 
-    /// Announces this host to the members of each group without a known leader. The leader that
-    /// added it may have been partitioned off and replaced, and its membership change undone.
+    /// Announces this host to all peers for each group without a known leader. The leader that added
+    /// it may have been partitioned off and replaced, and its membership change undone.
     pub(crate) fn seek_leaders(&mut self) {
         let leaderless = self.groups.values().filter(|group| group.raft.leader().is_none());
         let ids: Vec<GroupId> = leaderless.map(|group| group.id.clone()).collect();
         for id in ids {
-            let me = self.cfg.host.clone();
-            let members = self.cfg.groups.get(&id).cloned().unwrap_or_default();
-            for member in members.iter().filter(|member| member.host != me) {
-                self.send(&member.host, PeerMessage::SeekLeader(id.clone(), self.member));
-            }
+            self.send_all(&PeerMessage::SeekLeader(id, self.member));
         }
     }
 }
--- a/crates/host/tests/replaced_hosts.rs
+++ b/crates/host/tests/replaced_hosts.rs
@@ -13,6 +13,8 @@
 /// Time within which a group that lost a host accepts work again.
 const FAILOVER_TIME: Duration = Duration::from_secs(5);
 
+/// Random histories of changed settings to try.
+const CHANGE_HISTORIES: u64 = 20;
 const ALL: [usize; HOSTS] = [0, 1, 2, 3, 4, 5];
 
 fn seconds(n: u64) -> Duration {
@@ -321,3 +323,34 @@
     the_vote_of_a_replaced_host_ends_although_the_new_one_is_wiped:
         "a2", Interruption::JoinerIsWipedAgain;
 }
+
+/// The settings change again and again, and each time one host is down, or loses its disk, while the
+/// others read them in any order. Afterwards the votes are those of the last settings.
+#[test]
+fn votes_follow_the_settings_after_any_changes() {
+    for seed in 0..CHANGE_HISTORIES {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut w = World::started(&[]);
+        for _ in 0..3 {
+            let mut order = ALL;
+            rng.shuffle(&mut order);
+            let count = if rng.bool() { 3 } else { 5 };
+            w.voters.cell = rng.choose_multiple(ALL, count);
+            w.voters.cell.sort_unstable();
+            w.voters.witness = rng.usize(..2);
+            let (down, others) = (order[0], &order[1..]);
+            let wiped = rng.bool() && w.wipe(down);
+            if !wiped {
+                w.kill(down);
+            }
+            w.run(Duration::from_millis(rng.u64(..4_000)));
+            restart_in_turn(&mut w, others);
+            w.start(down);
+            w.run(FAILOVER_TIME + JOIN_TIME);
+            assert_eq!(w.wrong_votes(), None, "seed {seed}");
+            assert_eq!(leaderless_group(&w), None, "seed {seed}");
+        }
+        w.settle();
+        assert_eq!(w.oracle.violation, None, "seed {seed}");
+    }
+}
