--- a/crates/consensus/src/join_requests.rs
+++ b/crates/consensus/src/join_requests.rs
@@ -27,7 +27,8 @@
     /// The next configuration change on the way to replacing a host's old member, or `None`. The
     /// steps are: add the new member as a learner, wait until it has caught up, remove the old
     /// member, promote the learner. `intended` lists the group's hosts with their roles in the
-    /// settings; `matched` returns the last entry that a member is known to have.
+    /// settings; `matched` returns the last entry that a member is known to have, or `None` if the
+    /// member must not take part in a change now.
     pub fn next_change<F>(
         &self,
         config: &Config,
--- a/crates/scheduler/src/gossip.rs
+++ b/crates/scheduler/src/gossip.rs
@@ -256,22 +256,33 @@
         }
     }
 
-    /// Logs at intervals whose votes an election needs, and which of these hosts this one hears.
+    /// Logs at intervals whose votes an election needs, and which of these hosts this one hears; on a
+    /// host with a disk that is no member, whom it asks to join.
     fn report_missing_leader(&mut self) {
         let now = self.now;
         let due = now >= self.peers.next_leaderless_report;
         if !due || self.peers.leaderless_for(now) < LEADERLESS_REPORT_AFTER {
             return;
         }
-        let Some(group) = &self.group else { return };
         self.peers.next_leaderless_report = now + LEADERLESS_REPORT_INTERVAL;
         let heard = self.peers.heard_within(now, PEER_TIMEOUT);
         let heard: Vec<&str> = heard.iter().map(|(host, _)| host.as_str()).collect();
-        let config = group.raft.config();
-        log::warn!(term = group.raft.term(), last = group.raft.last_index(),
-            voters = host_list(config, |role| role != Role::Learner).as_str(),
-            learners = host_list(config, |role| role == Role::Learner).as_str(),
-            heard = heard.join(" ").as_str(); "the group has no leader");
+        let heard = heard.join(" ");
+        match &self.group {
+            Some(group) => {
+                let config = group.raft.config();
+                log::warn!(term = group.raft.term(), last = group.raft.last_index(),
+                    voters = host_list(config, |role| role != Role::Learner).as_str(),
+                    learners = host_list(config, |role| role == Role::Learner).as_str(),
+                    heard = heard.as_str(); "the group has no leader");
+            }
+            None if self.cfg.disk => {
+                let asked = self.peers.candidates().join(" ");
+                log::warn!(member = self.member, asked = asked.as_str(), heard = heard.as_str();
+                    "no leader lets this host join the group");
+            }
+            None => {}
+        }
     }
 
     fn on_host_heartbeat(&mut self, from: &HostId, heartbeat: HostHeartbeat) {
