--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -9,7 +9,7 @@
 
 mod world;
 
-use consensus::Role;
+use consensus::{Role, Tuning};
 use dispatch::InjectedBug;
 use jobs::Phase;
 use world::losses::{Losses, Tolerance, TOUCH_TIME};
@@ -44,6 +44,8 @@
     overlapping: bool,
     /// When faults begin, in milliseconds.
     first_fault: u64,
+    /// Whether a new member gets a snapshot in parts instead of the log.
+    short_log: bool,
 }
 
 const ONE_OF_THREE: Tolerance = Tolerance { at_once: 1, catch_up: 4_000 };
@@ -58,11 +60,12 @@
             replaced: false,
             overlapping: true,
             first_fault: 4_000,
+            short_log: false,
         }
     }
 
     /// Hosts are replaced. A third of the histories have more hosts, another third overlapping
-    /// losses.
+    /// losses; half of each keep a short log.
     fn replaced_hosts(seed: u64) -> Shape {
         let six = seed % 3 == 2;
         let tolerance = if six { TWO_OF_SIX } else { ONE_OF_THREE };
@@ -72,6 +75,16 @@
             replaced: true,
             overlapping: seed.is_multiple_of(3),
             first_fault: START_TIME + tolerance.catch_up,
+            short_log: seed.is_multiple_of(2),
+        }
+    }
+
+    fn tuning(&self) -> Tuning {
+        let short = Tuning { kept_entries: 20, max_message_bytes: 4 << 10, ..Tuning::default() };
+        if self.short_log {
+            short
+        } else {
+            Tuning::default()
         }
     }
 }
@@ -324,7 +337,7 @@
 fn run_history(seed: u64, injected_bug: InjectedBug, shape: Shape) -> Result<u64, String> {
     let mut clocks = fastrand::Rng::with_seed(!seed);
     let clocks_ahead = std::array::from_fn(|_| clocks.u64(..MAX_CLOCK_DIFFERENCE));
-    let mut world = World::with_clocks(seed, injected_bug, clocks_ahead);
+    let mut world = World::with_tuning(seed, injected_bug, clocks_ahead, shape.tuning());
     for _ in DISKS..shape.disks {
         world.add_host(clocks.u64(..MAX_CLOCK_DIFFERENCE));
     }
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -5,7 +5,7 @@
 pub(crate) mod replacements;
 mod worker;
 
-use consensus::{Entry, HardState, Ready, Restored, Snapshot};
+use consensus::{Entry, HardState, Ready, Restored, Snapshot, Tuning};
 use dispatch::{InjectedBug, OrderAnswer, SessionConfig};
 use jobs::{
     Configuration, EndKind, JobRequest, Phase, QueueAddress, QueuePolicy, ResourceVector,
@@ -26,6 +26,7 @@
 pub(crate) const DISKS: usize = 3;
 pub(crate) const WORKERS: usize = 6;
 const GANG_TIMEOUT: u64 = 3_000;
+const ENTRIES_PER_SNAPSHOT: u64 = 200;
 const HEARTBEAT_INTERVAL: u64 = 1_500;
 const CALL_RETRY_INTERVAL: u64 = 300;
 /// No task of a job may start later than this after its cancellation was acknowledged.
@@ -149,6 +150,7 @@
     /// Sum of the answers to `Call::CountWaiting`.
     pub(crate) waiting: u64,
     injected_bug: InjectedBug,
+    tuning: Tuning,
 }
 
 fn ms(millis: u64) -> Duration {
@@ -201,6 +203,17 @@
         seed: u64,
         injected_bug: InjectedBug,
         clocks_ahead: [u64; HOSTS],
+    ) -> World {
+        World::with_tuning(seed, injected_bug, clocks_ahead, Tuning::default())
+    }
+
+    /// Creates a world in which the clock of each host is ahead by this much, with these limits of
+    /// the replicated log.
+    pub(crate) fn with_tuning(
+        seed: u64,
+        injected_bug: InjectedBug,
+        clocks_ahead: [u64; HOSTS],
+        tuning: Tuning,
     ) -> World {
         let mut rng = fastrand::Rng::with_seed(seed);
         let workers = (0..WORKERS)
@@ -228,6 +241,7 @@
             starts: 0,
             waiting: 0,
             injected_bug,
+            tuning,
         };
         for i in 0..HOSTS {
             world.start(i, true);
@@ -252,7 +266,8 @@
             .seeds(self.seeds.iter().copied().map(ip).collect())
             .bootstrap(bootstrap)
             .disk(disk)
-            .entries_per_snapshot(200)
+            .entries_per_snapshot(ENTRIES_PER_SNAPSHOT)
+            .tuning(self.tuning.clone())
             .session(SessionConfig { injected_bug: self.injected_bug, ..SessionConfig::default() })
             .build();
         let host = &mut self.hosts[i];
