Take no vote from a host that stops while the majority may need it

Seen by callers (soak): a host of the group is lost, and before the leader misses it another one is stopped as planned. No leader for ever, although the second one comes back with its disk.

Cause: since a voter that stops loses its vote first, as one that is gone does. With an odd number of voters this takes one of the answers that make up the majority. The leader can't know whether all others are there: one that died less than 2 s ago isn't missed yet. Then the change itself can't be committed, and the log has it.

Change: a voter that is gone goes first. A voter that stops loses its vote only while their number is even, so that the majority gets smaller with it; with an odd number a spare member gets a vote before. What a member answers and whether it leaves are told apart.

--- a/crates/scheduler/src/reconfigure.rs
+++ b/crates/scheduler/src/reconfigure.rs
@@ -63,8 +63,8 @@
         let has_log =
             |matched: u64| matched > 0 && matched + CAUGHT_UP_ENTRIES >= raft.last_index();
         let caught_up = votes || raft.matched(id).is_some_and(has_log);
-        let live = caught_up && !leaving && is_live(raft, id, now);
-        MemberView { id, zone: zone.cloned(), votes, leaving, live }
+        let answers = is_live(raft, id, now);
+        MemberView { id, zone: zone.cloned(), votes, answers, leaving, caught_up }
     }
 
     /// The next change on the way of a new data directory into the group. Only hosts with a disk
--- a/crates/scheduler/src/votes.rs
+++ b/crates/scheduler/src/votes.rs
@@ -5,13 +5,14 @@
 //! there, their number odd, and no zone has half of them if that can be helped. Members without a
 //! vote are spare: they have the log, and one of them gets the vote of a voter that leaves.
 //!
-//! A leaving voter loses its vote before a spare member gets one. The other way round the group would
-//! depend on the new voter while the old one still counts, and lose its majority with the new one.
+//! A voter that is gone loses its vote before a spare member gets one. The other way round the group
+//! would depend on the new voter while the old one still counts, and lose its majority with the new
+//! one. A voter that stops still gives its vote, so a spare member gets one before.
 
 use types::{MemberId, SortedMap, ZoneName};
 
-/// Minimum number of live voters when voters are given up without a spare member.
-const MIN_LIVE_VOTERS: usize = 3;
+/// Voters that must remain when a vote is given up without a spare member to get it.
+const MIN_REMAINING_VOTERS: usize = 3;
 
 /// What the leader knows of a member of the group.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,10 +23,19 @@
     pub zone: Option<ZoneName>,
     /// Whether its vote counts.
     pub votes: bool,
+    /// Whether it answers, so that its vote can make up a majority.
+    pub answers: bool,
     /// Whether it is about to stop, or has not answered for so long that it counts as gone.
     pub leaving: bool,
-    /// Whether it answers, is not leaving and has the log.
-    pub live: bool,
+    /// Whether it has the log, as all voters do.
+    pub caught_up: bool,
+}
+
+impl MemberView {
+    /// Whether the member has a vote to give, or may get one, and stays.
+    fn is_live(&self) -> bool {
+        self.answers && self.caught_up && !self.leaving
+    }
 }
 
 /// A change of the vote of one member.
@@ -38,12 +48,13 @@
 }
 
 /// The next change towards the votes that the group should have; `None` if there is none. `leader` has
-/// the votes of a majority. No change lowers the number of voters that may be lost before it hasn't.
+/// the answers of a majority. It keeps them with each change, and no change lowers the number of voters
+/// that stay and may be lost before it hasn't.
 ///
 /// ```
 /// use scheduler::{next_vote_change, MemberView, VoteChange};
-/// let member = |id: u64, votes: bool, live: bool| {
-///     MemberView { id, zone: None, votes, leaving: !live, live }
+/// let member = |id: u64, votes: bool, answers: bool| {
+///     MemberView { id, zone: None, votes, answers, leaving: !answers, caught_up: true }
 /// };
 /// let mut members = vec![member(1, true, true), member(2, true, true), member(3, true, false)];
 /// assert_eq!(next_vote_change(&members, 1, 5), None);
@@ -58,7 +69,11 @@
     max_voters: usize,
 ) -> Option<VoteChange> {
     let votes = Votes::new(members, leader);
-    votes.leaving_voter().or_else(|| votes.grant(max_voters)).or_else(|| votes.surplus_voter())
+    votes
+        .gone_voter()
+        .or_else(|| votes.stopping_voter())
+        .or_else(|| votes.grant(max_voters))
+        .or_else(|| votes.surplus_voter())
 }
 
 /// The voters and spare members of a group.
@@ -74,7 +89,7 @@
 impl<'a> Votes<'a> {
     fn new(members: &'a [MemberView], leader: MemberId) -> Votes<'a> {
         let (voters, others): (Vec<_>, Vec<_>) = members.iter().partition(|m| m.votes);
-        let spare = others.into_iter().filter(|m| m.live).collect();
+        let spare = others.into_iter().filter(|m| m.is_live()).collect();
         let mut by_zone = SortedMap::default();
         if let Some(zones) = voters.iter().map(|m| m.zone.as_ref()).collect::<Option<Vec<_>>>() {
             zones.into_iter().for_each(|zone| *by_zone.get_or_insert_with(zone, || 0) += 1);
@@ -86,24 +101,37 @@
         self.voters.len().is_multiple_of(2)
     }
 
+    fn live_voters(&self) -> usize {
+        self.voters.iter().filter(|m| m.is_live()).count()
+    }
+
     /// Number of voters in a member's zone.
     fn in_zone_of(&self, member: &MemberView) -> usize {
         member.zone.as_ref().and_then(|zone| self.by_zone.get(&zone)).copied().unwrap_or(0)
     }
 
-    /// Revokes the vote of a member that is leaving, if a spare member can have it or the group bears
-    /// more losses without it: its number of voters becomes odd, by this change or the next.
-    fn leaving_voter(&self) -> Option<VoteChange> {
-        let mut leaving = self.voters.iter().filter(|m| m.leaving && m.id != self.leader);
-        let first = leaving.next()?;
-        let live = self.voters.iter().filter(|m| m.live).count();
-        let several = self.is_even() || leaving.next().is_some();
-        let gains = !self.spare.is_empty() || (several && live >= MIN_LIVE_VOTERS);
-        gains.then_some(VoteChange::Revoke(first.id))
+    /// Revokes the vote of a member that is gone, if a spare member can have it or the group bears more
+    /// losses without it: its number of voters becomes odd, by this change or the next.
+    fn gone_voter(&self) -> Option<VoteChange> {
+        let mut gone = self.voters.iter().filter(|m| m.leaving && !m.answers);
+        let revoked = gone.next()?;
+        let several = self.is_even() || gone.next().is_some();
+        let answering = self.voters.iter().filter(|m| m.answers).count();
+        let gains = !self.spare.is_empty() || (several && answering >= MIN_REMAINING_VOTERS);
+        gains.then_some(VoteChange::Revoke(revoked.id))
+    }
+
+    /// Revokes the vote of a member that stops while their number is even. An odd number of voters
+    /// may need it: another one may be gone that the leader does not miss yet.
+    fn stopping_voter(&self) -> Option<VoteChange> {
+        let stopping = self.voters.iter().find(|m| m.leaving && m.answers)?;
+        let remain = self.live_voters() >= MIN_REMAINING_VOTERS;
+        (self.is_even() && remain).then_some(VoteChange::Revoke(stopping.id))
     }
 
     /// Grants a vote to a spare member, one in the zone with the fewest voters: to make the number of
-    /// voters odd, or as the first of two, or in place of a voter of a zone that has too many.
+    /// voters odd, or as the first of two, or in place of a voter of a zone that has too many, or
+    /// in place of a voter that stops and then loses its own.
     fn grant(&self, max_voters: usize) -> Option<VoteChange> {
         let chosen = self.spare.iter().min_by_key(|m| (self.in_zone_of(m), m.id))?;
         let grows = self.spare.len() >= 2 && self.voters.len() + 2 <= max_voters;
@@ -111,16 +139,16 @@
             2 * count > self.voters.len()
                 && self.in_zone_of(chosen) + 1 < count
                 && chosen.zone.is_some()
-                && voter.live
+                && voter.is_live()
         });
-        (self.is_even() || grows || balances).then_some(VoteChange::Grant(chosen.id))
+        let replaces = self.voters.iter().any(|m| m.leaving && m.answers);
+        (self.is_even() || grows || balances || replaces).then_some(VoteChange::Grant(chosen.id))
     }
 
     /// Revokes a vote of the zone with the most voters if their number is even. Called when no
     /// spare member can make it odd.
     fn surplus_voter(&self) -> Option<VoteChange> {
-        let live = self.voters.iter().filter(|m| m.live).count();
-        let surplus = self.is_even() && live > MIN_LIVE_VOTERS;
+        let surplus = self.is_even() && self.live_voters() > MIN_REMAINING_VOTERS;
         let (voter, _) = self.fullest_zone().filter(|_| surplus)?;
         Some(VoteChange::Revoke(voter.id))
     }
--- a/crates/scheduler/tests/membership.rs
+++ b/crates/scheduler/tests/membership.rs
@@ -79,6 +79,35 @@
     assert!(world.leader_of(&members).is_some(), "no leader: {}", world.describe());
 }
 
+/// Guards against a vote that is taken from a host that stops while the majority needs it. Found by the
+/// soak with seed 9.
+#[test]
+fn a_host_that_stops_while_another_is_lost_does_not_end_the_group() {
+    for span in (0..3_000).step_by(100) {
+        let mut world = World::new(32, InjectedBug::None);
+        world.configure(1);
+        world.run_until(6_000);
+        let leader = world.leader().expect("a leader");
+        let others: Vec<usize> = (0..DISKS).filter(|i| *i != leader).collect();
+        world.kill(others[0]);
+        world.kill(DISKS);
+        world.replace(others[0], DISKS);
+        world.run_until(world.now + span);
+        world.drain(others[1]);
+        let limit = world.now + 5_000;
+        while !world.is_drained(others[1]) && world.now < limit {
+            world.run_until(world.now + 50);
+        }
+        world.kill(others[1]);
+        world.run_until(world.now + 1_000);
+        world.start(others[1], false);
+        world.run_until(world.now + 6_000);
+        let hosts = [leader, others[1], DISKS];
+        let found = world.leader_of(&hosts).is_some();
+        assert!(found, "stopped {span} ms later: no leader: {}", world.describe());
+    }
+}
+
 /// Starts all hosts with a disk: three of them form the group and the others join.
 fn six_disks(seed: u64) -> World {
     let mut world = World::new(seed, InjectedBug::None);
