Give no vote to a second spare member while a voter doesn't answer

Cause: two spare members got votes before the dead voter was missed, so that five voters had a dead one among them, which then stayed: with five, removing one gains nothing. A leader that was just elected also took all voters for live for a second, though it had heard nobody.

Change: the number of voters grows only while all of them answer, and a member counts as answering once it has answered this leader.

--- a/crates/scheduler/src/reconfigure.rs
+++ b/crates/scheduler/src/reconfigure.rs
@@ -106,7 +106,10 @@
 
 /// Whether a member answered this leader within [`MEMBER_LIVE_WITHIN`], or is this leader.
 fn is_live(raft: &Raft, id: MemberId, now: Timestamp) -> bool {
-    id == raft.id() || raft.last_response(id).is_some_and(|at| now < at + MEMBER_LIVE_WITHIN)
+    // A leader that was just elected has heard nobody, and matches no entry yet.
+    let answered = raft.matched(id).is_some_and(|matched| matched > 0);
+    let heard = raft.last_response(id).is_some_and(|at| now < at + MEMBER_LIVE_WITHIN);
+    id == raft.id() || (answered && heard)
 }
 
 /// Number of voters that are live.
--- a/crates/scheduler/src/votes.rs
+++ b/crates/scheduler/src/votes.rs
@@ -134,7 +134,8 @@
     /// in place of a voter that stops and then loses its own.
     fn grant(&self, max_voters: usize) -> Option<VoteChange> {
         let chosen = self.spare.iter().min_by_key(|m| (self.in_zone_of(m), m.id))?;
-        let grows = self.spare.len() >= 2 && self.voters.len() + 2 <= max_voters;
+        let all_answer = self.voters.iter().all(|m| m.answers);
+        let grows = self.spare.len() >= 2 && self.voters.len() + 2 <= max_voters && all_answer;
         let balances = self.fullest_zone().is_some_and(|(voter, count)| {
             2 * count > self.voters.len()
                 && self.in_zone_of(chosen) + 1 < count
