Send what a lagging member lacks once, not once for each rejection

Cause: appends that were on their way when a member was cut off are all rejected, as it lacks what was before them. Each rejection moved next back and sent everything again, although the first one had. On a link that drops messages when too many wait, this makes new gaps.

Change: entries are sent again in a round of their own, and rejections of earlier rounds are ignored.

Evidence: rejections_of_older_appends_do_not_repeat_what_was_sent_since failed with "16000 entries were sent for 400 that the member lacks".

--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -16,6 +16,9 @@
     pub(crate) last_response: Timestamp,
     /// Latest confirmation round that the member answered.
     pub(crate) round: u64,
+    /// Round in which entries were last sent again. Rejections of earlier rounds answer appends that
+    /// were sent before.
+    pub(crate) resent_round: u64,
 }
 
 /// Progress of a snapshot transfer to one member.
@@ -31,6 +34,6 @@
 
 impl Progress {
     pub(crate) fn new(next: Index, now: Timestamp) -> Progress {
-        Progress { next, matched: 0, snapshot: None, last_response: now, round: 0 }
+        Progress { next, matched: 0, snapshot: None, last_response: now, round: 0, resent_round: 0 }
     }
 }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -113,17 +113,13 @@
     fn on_append_reply(&mut self, from: MemberId, accepted: bool, index: Index, round: u64) {
         let last = self.log.last_index();
         let Some(progress) = self.record_response(from, round) else { return };
-        let before = progress.next;
-        if accepted {
-            progress.snapshot = None;
-            progress.matched = progress.matched.max(index.min(last));
-            progress.next = progress.next.max(progress.matched + 1);
-        } else {
-            progress.next = (index + 1).min(progress.next).max(progress.matched + 1);
+        if !accepted {
+            return self.on_rejection(from, index, round);
         }
-        // After a rejection that does not move `next`, wait for the next heartbeat. Resending at
-        // once would repeat the exchange in a loop at network speed.
-        let behind = if accepted { progress.next <= last } else { progress.next != before };
+        progress.snapshot = None;
+        progress.matched = progress.matched.max(index.min(last));
+        progress.next = progress.next.max(progress.matched + 1);
+        let behind = progress.next <= last;
         self.advance_commit();
         if behind {
             self.send_append(from);
@@ -131,6 +127,25 @@
         self.finish_transfer(from);
     }
 
+    /// Sends again what a member lacks, once for all appends on their way that it rejects for the same
+    /// gap: a round of its own tells their rejections from those of what is sent from now on.
+    fn on_rejection(&mut self, from: MemberId, index: Index, round: u64) {
+        let State::Leader(l) = &mut self.state else { return };
+        let Some(progress) = l.progress.get_mut(&from) else { return };
+        if round < progress.resent_round {
+            return;
+        }
+        let before = progress.next;
+        progress.next = (index + 1).min(before).max(progress.matched + 1);
+        // After a rejection that does not move `next`, wait for the next heartbeat. Resending at
+        // once would repeat the exchange in a loop at network speed.
+        if progress.next != before {
+            l.round += 1;
+            progress.resent_round = l.round;
+            self.send_append(from);
+        }
+    }
+
     fn on_install_reply(&mut self, from: MemberId, index: Index, offset: u64, round: u64) {
         let Some(progress) = self.record_response(from, round) else { return };
         match &mut progress.snapshot {
