--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -130,11 +130,17 @@
             && now >= self.backoff_until
     }
 
+    /// When the worker last answered an order; `None` if it has answered none.
+    pub fn last_answer(&self) -> Option<Timestamp> {
+        self.last_answer
+    }
+
     /// The status of each run.
     pub fn runs(&self) -> impl Iterator<Item = RunStatus> + '_ {
         self.runs.iter().map(|entry| RunStatus {
             task: entry.task,
             run: entry.run,
+            sent_at: entry.sent_at,
             working_since: entry.working_since,
             percent: entry.percent,
             percent_at: entry.percent_at,
@@ -159,6 +165,7 @@
             stage: Stage::Starting,
             pending: None,
             since: now,
+            sent_at: None,
             retry_at: now,
             reported: false,
             listed: false,
@@ -320,6 +327,7 @@
             let order = match (entry.stage, lease_until) {
                 (Stage::Starting, Some(lease_until)) => {
                     self.leased_until = self.leased_until.max(lease_until);
+                    entry.sent_at.get_or_insert(now);
                     Order::Start { task, run, lease_until }
                 }
                 (Stage::Stopping, _) => Order::Stop { task, run },
--- a/crates/dispatch/src/session/run.rs
+++ b/crates/dispatch/src/session/run.rs
@@ -27,6 +27,8 @@
     pub(super) pending: Option<OrderId>,
     /// When the run is known to have entered the stage.
     pub(super) since: Timestamp,
+    /// When the first start order was sent; `None` if this leader has sent none.
+    pub(super) sent_at: Option<Timestamp>,
     pub(super) retry_at: Timestamp,
     /// The run was reported as lost, which has not been recorded yet.
     pub(super) reported: bool,
@@ -67,6 +69,8 @@
     pub task: TaskRef,
     /// Number of the run.
     pub run: RunNumber,
+    /// When the first start order was sent; `None` if this leader has sent none.
+    pub sent_at: Option<Timestamp>,
     /// When the run was first known to be running.
     pub working_since: Option<Timestamp>,
     /// Progress in percent, as last reported by the worker.
--- a/crates/scheduler/src/job_log.rs
+++ b/crates/scheduler/src/job_log.rs
@@ -1,5 +1,6 @@
 //! How jobs and runs are named in the leader's log lines.
 
+use dispatch::Session;
 use jobs::{EndKind, State};
 use types::{JobId, Timestamp};
 
@@ -32,3 +33,15 @@
         None => "given up",
     }
 }
+
+/// Logs each run that ended with its worker's life, and what is known of its start.
+pub(crate) fn log_runs_lost(session: &Session, now: Timestamp) {
+    let ago = |at: Option<Timestamp>| at.map(|at| now.saturating_sub(at).as_millis() as u64);
+    for status in session.runs() {
+        let task = status.task;
+        log::info!(job = hex(task.step.job).as_str(), step = task.step.step, index = task.index,
+            run = status.run, life = session.life(), worker = session.worker(),
+            sent_ms_ago:? = ago(status.sent_at), seen_ms_ago:? = ago(status.working_since),
+            answer_ms_ago:? = ago(session.last_answer()); "run lost with its worker");
+    }
+}
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -2,7 +2,7 @@
 //! placement.
 
 use crate::config::NodeConfig;
-use crate::job_log::{hex, kind_name, log_job_over, objective_ms};
+use crate::job_log::{hex, kind_name, log_job_over, log_runs_lost, objective_ms};
 use crate::node::NodeStats;
 use crate::planning::urgency;
 use crate::zones::Zones;
@@ -198,6 +198,7 @@
                 }
                 Effect::LifeOver(id) => {
                     if let Some(session) = self.sessions.remove(&id) {
+                        log_runs_lost(&session, now);
                         let worker = session.worker().to_string();
                         self.ended_lives.push((worker, session.in_doubt_starts(now)));
                     }
