Add failing tests: tasks that crash each worker that starts them

Callers see jobs that stand still for 13 s after a crash beside them, and deadly tasks that are started again for ever. The simulated world gets such tasks, workers that come back under another name, and an oracle for both sides of the rule: no third start after three crashes, and no job shown as failed unless two workers crashed under one of its tasks or its attempts are used up.

--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -1,12 +1,14 @@
 //! Simulation of a cell in virtual time: hosts, disks, an unreliable network, workers, and an
 //! oracle that checks every start. All times are in milliseconds.
 
+mod crashes;
 pub(crate) mod losses;
 pub(crate) mod replacements;
 mod runs;
 mod worker;
 
 use consensus::{Entry, HardState, Ready, Restored, Snapshot, Tuning};
+use crashes::Crashes;
 use dispatch::{InjectedBug, OrderAnswer, SessionConfig};
 use jobs::{
     Configuration, JobRequest, Phase, QueueAddress, QueuePolicy, ResourceVector, RunNumber,
@@ -48,6 +50,10 @@
     RunEnd(usize, u64, TaskRef, RunNumber),
     /// A run ends if its gang is still incomplete.
     GangTimeout(usize, u64, TaskRef, RunNumber),
+    /// A run that is still there crashes its worker.
+    Crash(usize, u64, TaskRef, RunNumber),
+    /// A worker that a run has crashed starts again.
+    Restart(usize),
     /// A worker sends its heartbeat.
     Heartbeat(usize),
     /// A client repeats a call at a host.
@@ -150,6 +156,7 @@
     pub(crate) waiting: u64,
     injected_bug: InjectedBug,
     tuning: Tuning,
+    pub(crate) crashes: Crashes,
 }
 
 fn ms(millis: u64) -> Duration {
@@ -241,6 +248,7 @@
             waiting: 0,
             injected_bug,
             tuning,
+            crashes: Crashes::default(),
         };
         for i in 0..HOSTS {
             world.start(i, true);
@@ -375,19 +383,6 @@
         held.unwrap_or_default().iter().map(|start| start.worker.clone()).collect()
     }
 
-    pub(crate) fn crash_worker(&mut self, i: usize) {
-        eprintln!("{} crash w{i}", self.now);
-        self.workers[i].up = false;
-        self.workers[i].runs.clear();
-    }
-
-    pub(crate) fn restart_worker(&mut self, i: usize) {
-        eprintln!("{} restart w{i}", self.now);
-        let clock_rate = self.rng.u64(980..=1_000);
-        let name = self.workers[i].name.clone();
-        self.workers[i] = Worker::new(&name, self.now, clock_rate);
-    }
-
     /// Makes a client's call at a host.
     pub(crate) fn call(&mut self, host: usize, call: Call) {
         self.last_call += 1;
@@ -424,12 +419,17 @@
                 ..StepSpec::default()
             });
         }
+        self.submit_steps(id, advised, steps);
+        id
+    }
+
+    /// Submits a job with these steps.
+    pub(crate) fn submit_steps(&mut self, id: JobId, advised: bool, steps: Vec<StepSpec>) {
         let request = JobRequest { spec: "text".into(), steps, schedule: None };
         self.requests.insert(id, request.clone());
         self.jobs.insert(id, JobRecord::default());
         let host = self.rng.usize(DISKS..HOSTS);
         self.call(host, Call::Submit { id, queue: queue(advised), request: Box::new(request) });
-        id
     }
 
     pub(crate) fn cancel(&mut self, id: JobId) {
@@ -532,6 +532,9 @@
             let text = format!("{id:x} is shown as complete with {} of {tasks}", known.done.len());
             self.violations.push(text);
         }
+        if phase == Phase::Failed && !self.crashes.may_fail(id, request) {
+            self.violations.push(format!("{id:x} is shown as failed without a cause"));
+        }
         let complete_at = known.complete_at;
         if phase != Phase::Complete && complete_at.is_some_and(|at| at < asked) {
             let now = self.now;
@@ -598,7 +601,7 @@
                 }
             }
             Event::PollDue(i, process, number, envelope, until) => {
-                let w: usize = envelope.worker[1..].parse().unwrap();
+                let w = crashes::index_of(&envelope.worker);
                 let early = self.workers[w].ended.iter().any(|end| end.number > 0);
                 if self.now < until && !early && self.workers[w].up {
                     self.after(20, Event::PollDue(i, process, number, envelope, until));
@@ -612,6 +615,12 @@
             }
             Event::RunEnd(w, born, task, run) => self.end_run(w, born, task, run),
             Event::GangTimeout(w, born, task, run) => self.gang_timeout(w, born, task, run),
+            Event::Crash(w, born, task, run) => self.crash_by_run(w, born, task, run),
+            Event::Restart(w) => {
+                if !self.workers[w].up {
+                    self.restart_worker(w);
+                }
+            }
             Event::Heartbeat(w) => self.send_heartbeat(w),
             Event::Call(host, call) => self.call(host, *call),
         }
--- a/crates/scheduler/tests/world/runs.rs
+++ b/crates/scheduler/tests/world/runs.rs
@@ -1,5 +1,6 @@
 //! Orders to workers, the runs that they start and end, and the oracle that checks them.
 
+use super::crashes::index_of;
 use super::worker::Running;
 use super::{Event, World};
 use dispatch::OrderAnswer;
@@ -44,6 +45,9 @@
                 if open {
                     violations.push("starts before an earlier step is done");
                 }
+                if self.crashes.is_started_too_often(task) {
+                    violations.push("was started too often after it had crashed its workers");
+                }
                 let used = self.workers[w].used().plus(&step.need);
                 if !used.fits_in(&self.workers[w].capacity) {
                     violations.push("is more than its worker can hold");
@@ -66,7 +70,7 @@
         envelope: Box<OrderEnvelope>,
         late: bool,
     ) {
-        let w: usize = envelope.worker[1..].parse().unwrap();
+        let w = index_of(&envelope.worker);
         let timeout = envelope.timeout.as_millis() as u64;
         if !self.workers[w].up || self.cut_workers.contains(&w) {
             if !late {
@@ -74,6 +78,14 @@
             }
             return;
         }
+        if self.workers[w].name != envelope.worker {
+            let why = dispatch::RefusalReason::OtherLife;
+            let answer = OrderAnswer::Refused { why, clock: None };
+            if !late {
+                self.after(1, Event::OrderAnswered(i, process, number, answer));
+            }
+            return;
+        }
         // A new life under the same name also gets the orders in transit to the previous one; only
         // its own `born` value tells them apart. Orders that waited inside the previous life are
         // lost.
@@ -138,6 +150,7 @@
             self.check_start(w, task, run, late);
             self.workers[w].runs.insert((task, run), running);
             self.begin(w, task, run);
+            self.plan_crash(w, task, run);
         }
         answer
     }
@@ -206,6 +219,9 @@
         }
         eprintln!("{} end w{w} {task:?} {run} fails {fails}", self.now);
         let kind = if fails { EndKind::Failed } else { EndKind::Done };
+        if fails {
+            self.crashes.record_failure(task, gang);
+        }
         let members = if gang { self.members(task, run) } else { Vec::new() };
         self.workers[w].end(task, run, kind);
         if !fails {
@@ -243,6 +259,11 @@
             eprintln!("{} heartbeat w{w} born {}", self.now, self.workers[w].born);
         }
         self.after(HEARTBEAT_INTERVAL, Event::Heartbeat(w));
+        self.register(w);
+    }
+
+    /// Sends what the worker reports about itself, if it is up and reachable.
+    pub(super) fn register(&mut self, w: usize) {
         if !self.workers[w].up || self.cut_workers.contains(&w) {
             return;
         }
