--- a/crates/placement/src/steps/choose.rs
+++ b/crates/placement/src/steps/choose.rs
@@ -79,16 +79,8 @@
                 -class
             }
         };
-        let fit_rank = |c: &Candidate| {
-            let free = workers[c.worker].free.cpu;
-            // The next crash is to hit few others.
-            if demand.suspect {
-                (0, u64::MAX - free)
-            } else {
-                (speed_rank(c), free)
-            }
-        };
-        let best = fitting.min_by_key(|c| (!c.near_data, !c.ready, fit_rank(c)));
+        let best = fitting
+            .min_by_key(|c| (!c.near_data, !c.ready, speed_rank(c), workers[c.worker].free.cpu));
         let Some(best) = best else { break };
         best.max_tasks -= 1;
         workers[best.worker].take(demand, now);
