Native cell: give up tasks that crash the workers that start them

The same cause as on staged jobs: a worker that registers its next incarnation before its lease has ended has crashed, and its repeatable tasks were queued again as if nothing had been, so that a task could crash one worker after the other for ever. No failure was recorded, so neither the hold of a failing job nor the quarantine of a worker ever took effect. Change: the zone's state counts such crashes by task, and losses by silence apart from them, since a cut looks the same. After a loss the job shares no worker with others for 60 s. A task is given up after two crashes if its job was alone on the worker, after three among others, after four losses of either kind; a service is held back instead, longer each time. A restart of a draining worker counts for nothing. A worker that registers its incarnation again with other resources has those from then on; before, that was acknowledged and ignored.

--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -43,7 +43,10 @@
     if data.is_empty() {
         return T::default();
     }
-    postcard::from_bytes(data).expect("snapshots are written by this program")
+    let decoded = postcard::from_bytes(data);
+    // Snapshots of earlier releases lack the last part of a zone's state, which was empty.
+    let extended = || postcard::from_bytes(&[data, &[0]].concat());
+    decoded.or_else(|_| extended()).expect("snapshots are written by this program")
 }
 
 pub(crate) fn encode<T>(value: &T) -> Vec<u8>
--- a/crates/host/src/leader.rs
+++ b/crates/host/src/leader.rs
@@ -103,13 +103,13 @@
     fn sync_planner(&mut self, zone: &ZoneState, now: Timestamp) {
         self.planner.set_quotas(zone.quotas().values());
         for (id, worker) in zone.workers().iter() {
-            self.planner.upsert_worker(worker_view(id, worker, now));
+            self.planner.upsert_worker(worker_view(zone, id, worker, now));
         }
         for (fence, run) in zone.runs().iter() {
             self.sync_run(zone, *fence, run);
         }
         for id in zone.jobs().keys() {
-            self.sync_job(zone, *id);
+            self.sync_job(zone, *id, now);
         }
     }
 
@@ -121,7 +121,7 @@
         }
         for id in &effects.workers {
             match zone.workers().get(id) {
-                Some(worker) => self.planner.upsert_worker(worker_view(id, worker, now)),
+                Some(worker) => self.planner.upsert_worker(worker_view(zone, id, worker, now)),
                 None => self.planner.remove_worker(id),
             }
         }
@@ -131,7 +131,7 @@
             }
         }
         for id in &effects.jobs {
-            self.sync_job(zone, *id);
+            self.sync_job(zone, *id, now);
         }
     }
 
@@ -143,10 +143,13 @@
         }
     }
 
-    fn sync_job(&mut self, zone: &ZoneState, id: JobId) {
+    fn sync_job(&mut self, zone: &ZoneState, id: JobId, now: Timestamp) {
         match zone.jobs().get(&id) {
             // An all-at-once job is startable only while none of its tasks runs.
-            Some(job) if is_startable(zone, job) => self.planner.upsert_job(job_view(id, job)),
+            Some(job) if is_startable(zone, job) => {
+                let apart = zone.is_kept_apart(id, now);
+                self.planner.upsert_job(JobView { apart, ..job_view(id, job) });
+            }
             _ => self.planner.remove_job(id),
         }
     }
@@ -171,11 +174,16 @@
         });
     }
 
-    /// Updates the free resources of workers whose quarantine may have ended.
+    /// Updates the free resources of workers whose quarantine may have ended, and jobs that need not
+    /// be kept apart any more.
     pub(crate) fn refresh_workers(&mut self, zone: &ZoneState, now: Timestamp) {
+        let suspects: Vec<JobId> = zone.suspect_jobs().collect();
+        for id in suspects {
+            self.sync_job(zone, id, now);
+        }
         let quarantined = zone.workers().iter().filter(|(_, w)| !w.quarantined_until.is_zero());
         for (id, worker) in quarantined {
-            self.planner.upsert_worker(worker_view(id, worker, now));
+            self.planner.upsert_worker(worker_view(zone, id, worker, now));
         }
     }
 
@@ -306,14 +314,15 @@
     alone && job.waiting() > 0 && !zone.waits_for_predecessor(job)
 }
 
-fn worker_view(id: &WorkerId, worker: &Worker, now: Timestamp) -> WorkerView {
+fn worker_view(zone: &ZoneState, id: &WorkerId, worker: &Worker, now: Timestamp) -> WorkerView {
     let lost = worker.lost_at.is_some();
+    let closed = zone.is_closed(id, now);
     WorkerView {
         id: id.clone(),
         incarnation: worker.incarnation,
         rack: worker.rack.clone(),
         capacity: if lost { Default::default() } else { worker.capacity },
-        free: worker.free_resources(now),
+        free: if closed { Default::default() } else { worker.free_resources(now) },
         single: worker.on_probation,
     }
 }
@@ -333,5 +342,6 @@
         deadline: job.deadline(),
         held_until: job.held_until,
         late: job.late,
+        apart: false,
     }
 }
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -400,7 +400,8 @@
         // Only the job that holds the reservation may use the reserved slots.
         let other = self.reservation.as_ref().filter(|r| r.job != job.id);
         let end = draft.now.saturating_add(self.predict(job));
-        let allowed = |slot| other.is_none_or(|r| r.allows(slot, end));
+        let allowed =
+            |slot| other.is_none_or(|r| r.allows(slot, end)) && self.is_apart_enough(job, slot);
         let slots = all_at_once::find_slots(&self.workers, &job.resources, job.waiting, allowed);
         let Some(slots) = slots else {
             if other.is_none() {
@@ -472,6 +473,11 @@
 
     fn find_allowed(&self, start: Slot, job: &JobView, end: Timestamp) -> Option<Slot> {
         let need = &job.resources;
+        if job.apart {
+            let fits = |slot: &Slot| need.fits_in(&self.workers.index.free(*slot));
+            let mut slots = (0..self.workers.slot_count()).filter(fits);
+            return slots.find(|slot| self.is_apart_enough(job, *slot));
+        }
         let mut slot = self.workers.index.find(start, need)?;
         let Some(reservation) = &self.reservation else { return Some(slot) };
         if job.class == JobClass::Service || job.urgent {
@@ -486,6 +492,11 @@
         None
     }
 
+    /// Whether the slot's worker runs no other job, if the job has to be apart.
+    fn is_apart_enough(&self, job: &JobView, slot: Slot) -> bool {
+        !job.apart || self.workers.get(slot).is_some_and(|w| w.jobs.iter().all(|j| *j == job.id))
+    }
+
     /// Cost of placing a task of the job on a slot; lower is better.
     fn score(&self, slot: Slot, job: &JobView, spread: bool) -> f64 {
         let Some(worker) = self.workers.get(slot) else { return f64::MAX };
@@ -516,6 +527,9 @@
 
     fn take(&mut self, job: &JobView, slot: Slot, draft: &mut Draft) {
         self.workers.take(slot, &job.resources);
+        if job.apart {
+            self.workers.index.set(slot, Resources::default());
+        }
         self.teams.acquire(&job.team, &job.resources);
         match self.planned.last_mut() {
             Some((team, sum)) if *team == job.team => {
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -50,6 +50,8 @@
     pub held_until: Timestamp,
     /// Whether the job was already reported as missing its deadline.
     pub late: bool,
+    /// Whether the job shares no worker with other jobs.
+    pub apart: bool,
 }
 
 impl JobView {
@@ -75,6 +77,7 @@
             deadline: None,
             held_until: Timestamp::ZERO,
             late: false,
+            apart: false,
         }
     }
 }
--- a/crates/state/src/job.rs
+++ b/crates/state/src/job.rs
@@ -194,22 +194,27 @@
         if !many_workers && self.failures < FAILURES_TO_HOLD {
             return;
         }
-        let hold = (FIRST_HOLD * 2u32.saturating_pow(self.holds)).min(LONGEST_HOLD);
+        let (failures, workers) = (self.failures, self.failed_on.len());
+        let hold = self.hold_back(at);
         self.reason = format!(
-            "failed {} times in a row on {} workers; held back for {hold:?}",
-            self.failures,
-            self.failed_on.len()
+            "failed {failures} times in a row on {workers} workers; held back for {hold:?}"
         );
-        self.held_until = at + hold;
-        self.holds += 1;
-        self.failures = 0;
-        self.failed_on.clear();
         if !is_service && self.holds >= MAX_HOLDS {
             self.end(JobStatus::Failed, at);
             self.reason = format!("failed again after {MAX_HOLDS} holds; not tried any more");
         }
     }
 
+    /// Holds the job back, each time for longer. Returns for how long.
+    pub(crate) fn hold_back(&mut self, at: Timestamp) -> Duration {
+        let hold = (FIRST_HOLD * 2u32.saturating_pow(self.holds)).min(LONGEST_HOLD);
+        self.held_until = at + hold;
+        self.holds += 1;
+        self.failures = 0;
+        self.failed_on.clear();
+        hold
+    }
+
     /// Stops counting a failure on `worker` against the job, as that worker was quarantined.
     pub(crate) fn discount_failure_on(&mut self, worker: &WorkerId) {
         if let Ok(i) = self.failed_on.binary_search(worker) {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,7 @@
 mod adopt;
 mod cell;
 mod command;
+mod crashes;
 mod job;
 mod place;
 mod record;
--- a/crates/state/src/zone.rs
+++ b/crates/state/src/zone.rs
@@ -1,6 +1,7 @@
 //! The replicated state of a zone, and how each command changes it.
 
 use crate::command::{Effects, EndedRun, InjectedBug, Reply, RunEnd, WorkerSpec, ZoneCommand};
+use crate::crashes::JobLosses;
 use crate::job::{Job, JobStatus, Run};
 use crate::record::{Owner, Record, RecordAnswer, RecordPhase, StoredOutcome};
 use crate::worker::{Worker, WorkerStatus};
@@ -22,6 +23,8 @@
     pub(crate) release: Version,
     pub(crate) last_job: JobId,
     pub(crate) last_fence: Fence,
+    /// Last, since snapshots of earlier releases end before it.
+    pub(crate) losses: SortedMap<JobId, JobLosses>,
     #[serde(skip)]
     pub(crate) injected_bug: InjectedBug,
 }
@@ -134,16 +137,21 @@
             return Reply::Refused(Refusal::new(RefusalKind::Conflict, message));
         }
         if incarnation == worker.incarnation {
-            return if worker.status() == WorkerStatus::Lost {
+            if worker.status() == WorkerStatus::Lost {
                 let message =
                     format!("incarnation: {incarnation} of `{id}` was lost; start another");
-                Reply::Refused(Refusal::new(RefusalKind::Conflict, message))
-            } else {
-                Reply::Done
-            };
+                return Reply::Refused(Refusal::new(RefusalKind::Conflict, message));
+            }
+            let worker = self.workers.get_mut(&id).expect("looked up above");
+            worker.capacity = capacity;
+            return Reply::Done;
         }
         // The runs of the previous incarnation did not survive.
+        let (running, planned) = (self.tasks_on(&id), worker.draining);
         self.lose_runs(&id, at, effects);
+        if !planned {
+            self.record_loss(&running, true, at, effects);
+        }
         let worker = self.workers.get_mut(&id).expect("looked up above");
         worker.start_incarnation(rack, capacity, incarnation);
         Reply::Done
@@ -161,7 +169,9 @@
             return Reply::Done;
         }
         effects.workers.push(id.clone());
+        let running = self.tasks_on(id);
         self.lose_runs(id, at, effects);
+        self.record_loss(&running, false, at, effects);
         let worker = self.workers.get_mut(id).expect("looked up above");
         worker.lost_at = Some(at);
         Reply::Done
@@ -290,6 +300,7 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.record_success();
         }
+        self.forget_losses(run.job, run.index);
         let Some(job) = self.jobs.get_mut(&run.job) else { return };
         job.record_success();
         if job.spec.class == JobClass::Service {
@@ -434,6 +445,7 @@
             self.remove_job(id);
             effects.jobs.push(id);
         }
+        self.forget_losses_of_ended();
         self.records.retain(|_, record| record.at >= records_before);
         self.workers.retain(|id, worker| {
             let old = worker.lost_at.is_some_and(|at| at < before);
