Start nothing on capacity that a worker has no more, and count only crashes that are sure

Callers would see starts beyond what a worker has (LIMIT) once its capacity shrinks while it runs. Cause: four ways. A start without an answer was repeated long after the capacity had shrunk; a heartbeat that was delayed on its way gave capacity back; a new leader placed by what its predecessor knew, which may have heard nothing of the worker for long; and a leader placed by the old capacity while the change was on its way through the log. Change: a worker is sent starts only while its newest report, by its own clock, is at most 3.5 s old, and each leader needs a report of its own; an older heartbeat changes nothing; starts that are not known to have begun are taken back, the latest first, when a worker has more assigned than it can hold; what ends on such a worker does not count as room that a gang can claim. Also, found by the same histories: a stop that a worker's next life acknowledged hid the run of the one before from the crash; a run whose end was never reported counted as crashed, so a task is given up after two crashes only if it was a suspect of both; it waits for silent workers that may make up the last crash allowed. Cost: after a change of leader a worker gets new work only after its next heartbeat (1.5 s at most).

--- a/crates/dispatch/src/session/answers.rs
+++ b/crates/dispatch/src/session/answers.rs
@@ -181,7 +181,7 @@
                 entry.started |= this_life;
                 entry.working_since.get_or_insert(now);
             }
-            (Stage::Stopping, OrderAnswer::Done { .. }) => {
+            (Stage::Stopping, OrderAnswer::Done { .. }) if this_life => {
                 (entry.stage, entry.since) = (Stage::Stopped, now);
                 self.next_poll = self.next_poll.min(now + retry);
             }
--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -4,10 +4,14 @@
 use serde::{Deserialize, Serialize};
 use types::SortedMap;
 
-/// A task is given up after this many crashes if it was the only one to blame for the last.
-const CRASHES_TO_GIVE_UP: u32 = 2;
-/// A task is given up after this many crashes although others may be to blame for them.
-const CRASHES_TO_GIVE_UP_AMONG_OTHERS: u32 = 3;
+/// A task is given up after this many crashes that it may have caused if it was the only suspect of
+/// the last.
+const SUSPECTED_CRASHES_TO_GIVE_UP: u32 = 2;
+/// A task is given up after this many crashes although others may have caused them.
+const CRASHES_TO_GIVE_UP: u32 = 3;
+/// A task is given up after this many crashes although it is not certain that it had started before
+/// each of them: a worker may have crashed before it got the order.
+pub(crate) const UNCERTAIN_CRASHES_TO_GIVE_UP: u32 = 5;
 /// From this many crashes on a run counts as a suspect for as long as it lasts.
 const CRASHES_TO_STAY_SUSPECT: u32 = 2;
 
@@ -63,13 +67,15 @@
     /// other job may have caused it.
     ///
     /// ```
-    /// let twice = jobs::TaskCrashes { certain: 2, ..jobs::TaskCrashes::default() };
+    /// let twice = jobs::TaskCrashes { certain: 2, suspected: 2, possible: 0 };
     /// assert!(twice.is_enough(true) && !twice.is_enough(false));
     /// ```
     pub fn is_enough(&self, alone: bool) -> bool {
-        let needed = if alone { CRASHES_TO_GIVE_UP } else { CRASHES_TO_GIVE_UP_AMONG_OTHERS };
-        // A worker may have crashed before it got the order to start the task; hardly twice.
-        self.certain >= needed || self.total() > needed
+        let needed = SUSPECTED_CRASHES_TO_GIVE_UP;
+        let only_suspect = alone && self.certain >= needed && self.suspected >= needed;
+        only_suspect
+            || self.certain >= CRASHES_TO_GIVE_UP
+            || self.total() >= UNCERTAIN_CRASHES_TO_GIVE_UP
     }
 }
 
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -64,6 +64,11 @@
         self.info.capacity.minus(&self.used)
     }
 
+    /// Resources reserved beyond the capacity, which may have shrunk.
+    pub fn excess(&self) -> ResourceVector {
+        self.used.minus(&self.info.capacity)
+    }
+
     pub(crate) fn add(&mut self, run: Run) {
         self.used = self.used.plus(&run.need);
         self.runs.push(run);
--- a/crates/jobs/src/state/crashes.rs
+++ b/crates/jobs/src/state/crashes.rs
@@ -3,7 +3,7 @@
 use super::ends::end_job;
 use super::State;
 use crate::command::Effect;
-use crate::crashes::{CrashedRun, TaskCrashes};
+use crate::crashes::{CrashedRun, TaskCrashes, UNCERTAIN_CRASHES_TO_GIVE_UP};
 use crate::job::{Phase, Progress};
 use crate::model::{LifeId, RunNumber, StepRef, TaskRef};
 use types::{JobId, Timestamp};
@@ -25,6 +25,14 @@
             || self.crashes.silent.values().flatten().any(|(silent, _)| *silent == task)
     }
 
+    /// Whether the task must not start again before its silent workers have shown whether they
+    /// crashed: if they did, it is given up.
+    pub fn awaits_silent_workers(&self, task: TaskRef) -> bool {
+        let silent = self.crashes.silent.values().flatten().filter(|(silent, _)| *silent == task);
+        let silent = silent.count() as u32;
+        silent > 0 && self.task_crashes(task).total() + silent >= UNCERTAIN_CRASHES_TO_GIVE_UP
+    }
+
     /// Whether any task of the step is suspect.
     pub fn has_suspects(&self, step: StepRef) -> bool {
         let counted =
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -281,10 +281,14 @@
             let reported = jobs::WorkerInfo { draining: info.draining || draining, ..info.clone() };
             life.info == reported
         });
+        let mut delayed = false;
         if let (Some(life), Some(leader)) = (known.map(|life| life.id), &mut group.leader) {
-            leader.record_heartbeat(life, clock, now);
+            delayed = !leader.record_heartbeat(life, clock, now);
+            if unchanged {
+                leader.record_report(life);
+            }
         }
-        if unchanged {
+        if unchanged || delayed {
             self.answer(origin, Ok(Answer::Done));
             return;
         }
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -8,7 +8,9 @@
 use crate::zones::Zones;
 use consensus::Term;
 use dispatch::{AdviceTracker, OrderId, RunTraits, Session};
-use jobs::{Effect, EndKind, Job, LifeId, Progress, RunNumber, State, StepRef, TaskRef};
+use jobs::{
+    Effect, EndKind, Job, LifeId, Progress, ResourceVector, RunNumber, State, StepRef, TaskRef,
+};
 use placement::speeds::Speeds;
 use placement::steps::{Claim, Urgency};
 use std::time::Duration;
@@ -73,9 +75,13 @@
     pub(crate) resolution_in_flight: bool,
     /// When this leader got the last heartbeat of each life; initially when its session began.
     pub(crate) last_heartbeat: SortedMap<LifeId, Timestamp>,
+    /// The worker's clock in the newest heartbeat of each life, in milliseconds.
+    heartbeat_clocks: SortedMap<LifeId, u64>,
 }
 
 impl Leader {
+    /// Creates the state of the leader of `term`. Nobody knows when its predecessor last heard of a
+    /// worker, so each has to report its capacity first.
     pub(crate) fn new(term: Term, state: &State, cfg: &NodeConfig, now: Timestamp) -> Leader {
         let base = term * NUMBERS_PER_TERM;
         let mut leader = Leader {
@@ -101,6 +107,7 @@
             held_since: SortedMap::default(),
             resolution_in_flight: false,
             last_heartbeat: SortedMap::default(),
+            heartbeat_clocks: SortedMap::default(),
         };
         for life in state.lives() {
             leader.begin_session(state, life.id, cfg, now);
@@ -121,6 +128,7 @@
         let Some(life) = state.life(id) else { return };
         let mut session = Session::new(id, cfg.session.clone(), life.last_seen, now);
         session.set_worker(&life.info.worker);
+        session.require_reports();
         for run in &life.runs {
             session.add_run(run.task, run.run, now);
             if let Some(traits) = run_traits(state, run.task, run.run) {
@@ -135,11 +143,33 @@
         self.last_heartbeat.insert(id, now);
     }
 
-    pub(crate) fn record_heartbeat(&mut self, life: LifeId, clock: Option<u64>, now: Timestamp) {
+    /// Records a heartbeat. False if the worker has sent a newer one, which has arrived earlier.
+    pub(crate) fn record_heartbeat(
+        &mut self,
+        life: LifeId,
+        clock: Option<u64>,
+        now: Timestamp,
+    ) -> bool {
         self.last_heartbeat.insert(life, now);
+        if let Some(clock) = clock {
+            let newest = self.heartbeat_clocks.get_or_insert_with(life, || clock);
+            if clock < *newest {
+                return false;
+            }
+            *newest = clock;
+        }
         if let (Some(session), Some(clock)) = (self.sessions.get_mut(&life), clock) {
             session.record_clock(clock, now);
         }
+        true
+    }
+
+    /// Records that the state holds what the life's newest heartbeat has reported.
+    pub(crate) fn record_report(&mut self, life: LifeId) {
+        let clock = self.heartbeat_clocks.get(&life).copied();
+        if let (Some(session), Some(clock)) = (self.sessions.get_mut(&life), clock) {
+            session.record_report(clock);
+        }
     }
 
     /// Whether a task of the job is known to have started: one has ended, or a worker reports one
@@ -198,6 +228,8 @@
                     if !self.sessions.contains_key(&id) {
                         self.begin_session(state, id, cfg, now);
                     }
+                    self.record_report(id);
+                    self.take_back_starts(state, id, now);
                     self.plan_due = true;
                 }
                 Effect::LifeOver(id) => {
@@ -207,6 +239,7 @@
                         self.ended_lives.push((worker, session.in_doubt_starts(now)));
                     }
                     self.last_heartbeat.remove(&id);
+                    self.heartbeat_clocks.remove(&id);
                     self.speeds.forget(id);
                     self.plan_due = true;
                 }
@@ -280,6 +313,28 @@
         }
     }
 
+    /// Stops runs that are not known to have started, the latest first, while a worker whose
+    /// capacity has shrunk has more assigned than it can hold.
+    fn take_back_starts(&mut self, state: &State, id: LifeId, now: Timestamp) {
+        let (Some(life), Some(session)) = (state.life(id), self.sessions.get_mut(&id)) else {
+            return;
+        };
+        let mut over = life.excess();
+        let unstarted = session.runs().filter(|run| run.working_since.is_none() && !run.stopping);
+        let unstarted: Vec<_> = unstarted.map(|run| (run.task, run.run)).collect();
+        for (task, run) in unstarted.into_iter().rev() {
+            if over == ResourceVector::default() {
+                return;
+            }
+            let found = life.runs.iter().find(|known| (known.task, known.run) == (task, run));
+            let Some(known) = found else { continue };
+            log::info!(job = hex(task.step.job).as_str(), step = task.step.step,
+                index = task.index, run = run, life = id; "start taken back: its worker has shrunk");
+            over = over.minus(&known.need);
+            session.stop_run(task, run, now);
+        }
+    }
+
     fn on_job_over(&mut self, state: &State, id: JobId, now: Timestamp) {
         log_job_over(state, id, now);
         self.stop_where(|task| task.step.job == id, now);
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -6,9 +6,7 @@
 use crate::leader::{Leader, MIN_PLAN_INTERVAL};
 use crate::node::Node;
 use dispatch::{AdviceCall, RunStatus, RunTraits};
-use jobs::{
-    Command, LifeId, Placement, Progress, ResourceVector, RunNumber, State, StepRef, TaskRef,
-};
+use jobs::{Command, LifeId, Placement, Progress, RunNumber, State, StepRef, TaskRef};
 use placement::speeds::Speeds;
 use placement::steps::{
     plan, rank, Claim, Demand, EligibleWorkers, PausableRun, Reclaimable, StepPlan, Urgency,
@@ -201,7 +199,8 @@
             let silent = self.zones.is_silent(&life.info.zone);
             if usable && !silent && !life.info.draining {
                 let (free, slowness) = (life.free(), self.speeds.slowness(life.id));
-                let claimed_beyond_free = ResourceVector::default();
+                // What ends on a worker that has shrunk does not become free at first.
+                let claimed_beyond_free = life.excess();
                 let isolation = self.isolation(state, life.id, now);
                 workers.push(WorkerCapacity {
                     life: life.id,
@@ -348,12 +347,14 @@
     total.saturating_sub(worked)
 }
 
-/// Tasks that wait for placement, without those that a delayed earlier start order may still start.
-/// No task of a gang is returned if one of them is held back.
+/// Tasks that wait for placement, without those that a delayed earlier start order may still start
+/// and those that are given up if a silent worker has crashed. No task of a gang is returned if one of them is held back.
 fn startable(state: &State, step: StepRef, progress: &jobs::StepState, gang: bool) -> Vec<u32> {
     let mut tasks: Vec<u32> = progress.waiting().collect();
     let in_doubt = |index: &u32| {
-        state.in_doubt_starts().iter().any(|start| start.task == TaskRef { step, index: *index })
+        let task = TaskRef { step, index: *index };
+        state.in_doubt_starts().iter().any(|start| start.task == task)
+            || state.awaits_silent_workers(task)
     };
     if gang && tasks.iter().any(in_doubt) {
         return Vec::new();
--- a/crates/scheduler/tests/world/worker.rs
+++ b/crates/scheduler/tests/world/worker.rs
@@ -37,8 +37,13 @@
     /// How often the worker's lease has lapsed.
     pub(crate) lapses: u64,
     lapsed: bool,
+    /// Earlier capacities, and until when they were in force.
+    before: Vec<(ResourceVector, u64)>,
 }
 
+/// A capacity that has shrunk counts after the time in which it is made known: 3 s and a heartbeat.
+const SHRINK_NOTICE: u64 = 4_500;
+
 /// Longest lease, in milliseconds on the worker's clock. A longer one is shortened to this.
 const MAX_LEASE: u64 = 6_000;
 
@@ -59,9 +64,22 @@
             unacknowledged_done: Vec::new(),
             lapses: 0,
             lapsed: true,
+            before: Vec::new(),
         }
     }
 
+    pub(crate) fn set_capacity(&mut self, capacity: ResourceVector, now: u64) {
+        self.before.push((self.capacity, now));
+        self.capacity = capacity;
+    }
+
+    /// Whether these resources are more than the worker may have in use after a start. A start that
+    /// is carried out late may have been sent while there was more.
+    pub(crate) fn is_over(&self, used: &ResourceVector, now: u64, late: bool) -> bool {
+        let mut before = self.before.iter().filter(|(_, at)| late || now <= at + SHRINK_NOTICE);
+        !used.fits_in(&self.capacity) && !before.any(|(before, _)| used.fits_in(before))
+    }
+
     pub(crate) fn clock(&self, now: u64) -> u64 {
         (now - self.born) * self.clock_rate / 1_000 + 1
     }
