Native cell: keep no job apart for a cut worker, and never a service

Change: only a crash keeps a job apart, and a service never, as it is not given up and has to serve meanwhile. Evidence: a new test, and the red test passes (22 s).

--- a/crates/state/src/crashes.rs
+++ b/crates/state/src/crashes.rs
@@ -37,7 +37,7 @@
 /// Losses of workers that ran tasks of a job.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct JobLosses {
-    last: Timestamp,
+    last_crash: Option<Timestamp>,
     /// Losses by task index, sorted.
     tasks: Vec<(u32, TaskLosses)>,
 }
@@ -54,10 +54,13 @@
 }
 
 impl ZoneState {
-    /// Whether a worker was lately lost while it ran the job. Until the next loss shows whether the
-    /// job causes it, the job shares no worker with others.
+    /// Whether a worker lately crashed while it ran the job. Until the next crash shows whether the
+    /// job causes it, the job shares no worker with others. A service is never kept apart: it is not
+    /// given up, and has to serve meanwhile.
     pub fn is_kept_apart(&self, job: JobId, now: Timestamp) -> bool {
-        self.losses.get(&job).is_some_and(|losses| now < losses.last + TIME_APART)
+        let serves = self.jobs.get(&job).is_some_and(|job| job.spec.class == JobClass::Service);
+        let crash = self.losses.get(&job).and_then(|losses| losses.last_crash);
+        !serves && crash.is_some_and(|at| now < at + TIME_APART)
     }
 
     /// Jobs that are or were kept apart.
@@ -95,7 +98,9 @@
                 continue;
             }
             let losses = self.losses.get_or_insert_with(*job, JobLosses::default);
-            losses.last = at;
+            if crashed {
+                losses.last_crash = Some(at);
+            }
             let task = losses.of_task(*index);
             *(if crashed { &mut task.crashes } else { &mut task.silent }) += 1;
             if task.is_enough(alone) {
--- a/crates/state/tests/crashes.rs
+++ b/crates/state/tests/crashes.rs
@@ -185,3 +185,19 @@
     let jobs: Vec<JobId> = ["a", "b"].iter().map(|n| zone.submit(n, JobClass::Batch)).collect();
     assert!(zone.place(jobs[0], 0) && !zone.place(jobs[1], 0));
 }
+
+/// Guards against tasks that wait for workers of their own because a worker was cut off, or because
+/// a service has lost one.
+#[test]
+fn only_a_crash_keeps_a_job_apart_and_never_a_service() {
+    let mut zone = Zone::new();
+    let cut = zone.submit("cut", JobClass::Batch);
+    let service = zone.submit("service", JobClass::Service);
+    let other = zone.submit("other", JobClass::Batch);
+    assert!(zone.place(cut, 0) && zone.place(other, 2));
+    zone.lose(0);
+    assert!(zone.place(cut, 2), "beside another job");
+    assert!(zone.place(service, 1));
+    zone.restart(1);
+    assert!(zone.place(service, 2), "beside other jobs");
+}
