Take back the limit on the age of capacity reports

Cause: members answer a heartbeat that changes nothing for the leader and forward one in 4 s, so that the leader took the reports of sound workers for too old at 3.5 s. Change: no limit. Starts are still taken back from workers that have shrunk, and delayed heartbeats ignored. Conclusion: a right limit needs heartbeats that reach the leader, and a new leader that asks for them.

--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -22,9 +22,6 @@
 /// Upper bound of the backoff of a worker that keeps failing.
 const MAX_BACKOFF: Duration = Duration::from_secs(16);
 
-/// A worker's capacity may have shrunk since a report that is older than this.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(3_500);
-
 /// Something that a session found out and that the leader must act on, usually by a command.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SessionEvent {
@@ -60,10 +57,6 @@
     unknown_runs: Vec<(TaskRef, RunNumber, Timestamp)>,
     /// The worker has listed its runs since the last unanswered order, so it is still this life.
     same_life: bool,
-    /// The worker is sent starts only while its capacity is known.
-    needs_reports: bool,
-    /// The worker's clock when it last reported its capacity, in milliseconds.
-    reported: Option<u64>,
     /// Another worker has taken the address.
     replaced: bool,
     /// Start orders that got no answer, and when that was noticed.
@@ -105,8 +98,6 @@
             runs: Vec::new(),
             unknown_runs: Vec::new(),
             same_life: false,
-            needs_reports: false,
-            reported: None,
             replaced: false,
             unanswered: Vec::new(),
             worker: String::new(),
@@ -142,27 +133,6 @@
             && fresh
             && self.timeouts == 0
             && now >= self.backoff_until
-            && self.is_capacity_known(now)
-    }
-
-    /// From now on the worker is sent starts only for a while after each report of its capacity.
-    pub fn require_reports(&mut self) {
-        self.needs_reports = true;
-    }
-
-    /// Records that the worker reported its capacity when its clock showed `clock` milliseconds.
-    /// The report may have been delayed.
-    pub fn record_report(&mut self, clock: u64) {
-        self.reported = self.reported.max(Some(clock));
-    }
-
-    fn is_capacity_known(&self, now: Timestamp) -> bool {
-        if !self.needs_reports {
-            return true;
-        }
-        let (Some(reported), Some(reading)) = (self.reported, self.clock) else { return false };
-        let clock = Duration::from_millis(reading.millis) + now.saturating_sub(reading.at);
-        clock < Duration::from_millis(reported) + MAX_REPORT_AGE
     }
 
     /// When the worker last answered an order; `None` if it has answered none.
@@ -378,7 +348,7 @@
     }
 
     fn poll_runs(&mut self, now: Timestamp, orders: &mut Vec<(OrderId, Order)>) {
-        let lease_until = self.lease_for_start(now).filter(|_| self.is_capacity_known(now));
+        let lease_until = self.lease_for_start(now);
         let mut last_order = self.last_order;
         for entry in &mut self.runs {
             if entry.pending.is_some() || now < entry.retry_at || entry.reported {
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -284,9 +284,6 @@
         let mut delayed = false;
         if let (Some(life), Some(leader)) = (known.map(|life| life.id), &mut group.leader) {
             delayed = !leader.record_heartbeat(life, clock, now);
-            if unchanged {
-                leader.record_report(life);
-            }
         }
         if unchanged || delayed {
             self.answer(origin, Ok(Answer::Done));
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -80,8 +80,6 @@
 }
 
 impl Leader {
-    /// Creates the state of the leader of `term`. Nobody knows when its predecessor last heard of a
-    /// worker, so each has to report its capacity first.
     pub(crate) fn new(term: Term, state: &State, cfg: &NodeConfig, now: Timestamp) -> Leader {
         let base = term * NUMBERS_PER_TERM;
         let mut leader = Leader {
@@ -128,7 +126,6 @@
         let Some(life) = state.life(id) else { return };
         let mut session = Session::new(id, cfg.session.clone(), life.last_seen, now);
         session.set_worker(&life.info.worker);
-        session.require_reports();
         for run in &life.runs {
             session.add_run(run.task, run.run, now);
             if let Some(traits) = run_traits(state, run.task, run.run) {
@@ -164,14 +161,6 @@
         true
     }
 
-    /// Records that the state holds what the life's newest heartbeat has reported.
-    pub(crate) fn record_report(&mut self, life: LifeId) {
-        let clock = self.heartbeat_clocks.get(&life).copied();
-        if let (Some(session), Some(clock)) = (self.sessions.get_mut(&life), clock) {
-            session.record_report(clock);
-        }
-    }
-
     /// Whether a task of the job is known to have started: one has ended, or a worker reports one
     /// as running.
     pub(crate) fn has_begun(&self, job: &Job) -> bool {
@@ -228,7 +217,6 @@
                     if !self.sessions.contains_key(&id) {
                         self.begin_session(state, id, cfg, now);
                     }
-                    self.record_report(id);
                     self.take_back_starts(state, id, now);
                     self.plan_due = true;
                 }
