Give the processes of tests ports that no outgoing connection takes

Cause: a stand-in bound a port of the range for outgoing connections, let it go and started the process. Between that and the bind, or while a killed process was down, the system could give the port to an outgoing connection. Change: stand-ins pick ports below that range, each once in a process, and check that they are free. One function serves the cell of the native tests and the test on the platform's settings. The race itself was not forced.

--- a/crates/daemon/tests/on_platform.rs
+++ b/crates/daemon/tests/on_platform.rs
@@ -6,7 +6,7 @@
 use client::{Client, ClientBuilder, Method, Reply};
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -36,15 +36,9 @@
     }
 }
 
-fn free_ports() -> Vec<SocketAddr> {
-    let open: Vec<TcpListener> =
-        (0..5).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    open.iter().map(|listener| listener.local_addr().unwrap()).collect()
-}
-
 fn start() -> Process {
     let dir = tempfile::tempdir().unwrap();
-    let ports = free_ports();
+    let ports = standin::free_addrs(5).unwrap();
     let (callers, ready, control, peers) = (ports[0], ports[1], ports[2], ports[3].port());
     let text = format!(
         "node=n-1\nip=127.0.0.1\nzone=a\nlisten.front={callers}\nlisten.ready={ready}\n\
--- a/crates/standin/src/cell.rs
+++ b/crates/standin/src/cell.rs
@@ -1,9 +1,10 @@
 //! A cell of entry hosts that run as separate `ebonywalkd` processes on loopback.
 
+use crate::ports::free_addrs;
 use client::{Client, ClientBuilder};
 use std::fs;
 use std::io::{self, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -67,7 +68,7 @@
         let mut hosts = Vec::new();
         for (zone, count) in &self.zones {
             for i in 1..=*count {
-                let addrs = free_addrs()?;
+                let addrs = host_addrs()?;
                 hosts.push(HostProcess {
                     name: format!("{zone}-{i}"),
                     zone: zone.clone(),
@@ -109,12 +110,10 @@
     }
 }
 
-/// Picks four unused loopback ports. Another process may take one of them before the host does.
-fn free_addrs() -> io::Result<Addrs> {
-    let listeners: Vec<TcpListener> =
-        (0..4).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
-    let addr = |i: usize| listeners[i].local_addr();
-    Ok(Addrs { callers: addr(0)?, platform: addr(1)?, operators: addr(2)?, peers: addr(3)? })
+/// Picks the addresses of one host.
+fn host_addrs() -> io::Result<Addrs> {
+    let addrs = free_addrs(4)?;
+    Ok(Addrs { callers: addrs[0], platform: addrs[1], operators: addrs[2], peers: addrs[3] })
 }
 
 /// A cell of entry host processes. Processes that still run are killed on drop.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod cell;
 mod journal;
+mod ports;
 mod upstream;
 mod worker;
 
 pub use cell::{Cell, CellBuilder, HostProcess};
 pub use journal::{Execution, Journal, RunRecord};
+pub use ports::free_addrs;
 pub use upstream::{Behaviour, Upstream};
 pub use worker::{Worker, WorkerOptions};
