Start tasks only on capacity that was reported lately, and pass reports on to the leader

Cause: a report of capacity has no age. Change: members record each unchanged heartbeat (life, worker's clock, capacity) and add the new ones to their own heartbeat to the leader, all of them if the leader is a new one. The heartbeat that registers a life counts as its report, so that a worker that comes back gets work at once. Members forward no unchanged heartbeats any more. Hosts speak protocol 5. The fixture of dispatch's session tests has a worker that has reported, as any worker has. New tests: two of three in shrinking_capacity.rs fail if the leader ignores members' reports.

--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -57,6 +57,8 @@
     unknown_runs: Vec<(TaskRef, RunNumber, Timestamp)>,
     /// The worker has listed its runs since the last unanswered order, so it is still this life.
     same_life: bool,
+    /// The worker's clock when it last reported the capacity that is known, in milliseconds.
+    reported: Option<u64>,
     /// Another worker has taken the address.
     replaced: bool,
     /// Start orders that got no answer, and when that was noticed.
@@ -98,6 +100,7 @@
             runs: Vec::new(),
             unknown_runs: Vec::new(),
             same_life: false,
+            reported: None,
             replaced: false,
             unanswered: Vec::new(),
             worker: String::new(),
@@ -133,6 +136,27 @@
             && fresh
             && self.timeouts == 0
             && now >= self.backoff_until
+            && self.is_capacity_known(now)
+    }
+
+    /// Records that the worker reported its capacity when its clock showed `clock` milliseconds;
+    /// `None` if it did not say so, and the report counts as sent now.
+    pub fn record_report(&mut self, clock: Option<u64>, now: Timestamp) {
+        self.reported = self.reported.max(clock.or_else(|| self.clock_at(now)));
+    }
+
+    /// Whether the worker reported its capacity so lately that it can't be much smaller by now.
+    fn is_capacity_known(&self, now: Timestamp) -> bool {
+        let (Some(reported), Some(clock)) = (self.reported, self.clock_at(now)) else {
+            return false;
+        };
+        Duration::from_millis(clock.saturating_sub(reported)) < self.cfg.max_report_age
+    }
+
+    /// Upper bound of what the worker's clock shows, in milliseconds; `None` if it is not known.
+    fn clock_at(&self, now: Timestamp) -> Option<u64> {
+        let reading = self.clock?;
+        Some(reading.millis + now.saturating_sub(reading.at).as_millis() as u64)
     }
 
     /// When the worker last answered an order; `None` if it has answered none.
@@ -348,7 +372,7 @@
     }
 
     fn poll_runs(&mut self, now: Timestamp, orders: &mut Vec<(OrderId, Order)>) {
-        let lease_until = self.lease_for_start(now);
+        let lease_until = self.lease_for_start(now).filter(|_| self.is_capacity_known(now));
         let mut last_order = self.last_order;
         for entry in &mut self.runs {
             if entry.pending.is_some() || now < entry.retry_at || entry.reported {
--- a/crates/dispatch/src/session/config.rs
+++ b/crates/dispatch/src/session/config.rs
@@ -37,6 +37,9 @@
     pub suspect_after: Duration,
     /// Maximum time for which an earlier leader may have continued to renew leases.
     pub predecessor_overlap: Duration,
+    /// A worker is sent starts only for this long after it has reported its capacity, by its own
+    /// clock.
+    pub max_report_age: Duration,
     /// An unanswered order is carried out within this time or not at all.
     pub max_order_delay: Duration,
     /// Safety mechanism that is disabled, for tests.
@@ -52,6 +55,7 @@
             retry: Duration::from_millis(150),
             suspect_after: Duration::from_millis(1_800),
             predecessor_overlap: Duration::from_millis(1_500),
+            max_report_age: Duration::from_secs(4),
             max_order_delay: Duration::from_secs(13),
             injected_bug: InjectedBug::None,
         }
--- a/crates/dispatch/src/session/lease.rs
+++ b/crates/dispatch/src/session/lease.rs
@@ -63,9 +63,7 @@
     /// The end of a lease granted now, in milliseconds on the worker's clock; `None` if its clock
     /// is not known.
     fn lease_end(&self, now: Timestamp) -> Option<u64> {
-        let clock = self.clock?;
-        let elapsed = now.saturating_sub(clock.at).as_millis() as u64;
-        Some(clock.millis + elapsed + millis(self.cfg.lease))
+        Some(self.clock_at(now)? + millis(self.cfg.lease))
     }
 }
 
--- a/crates/dispatch/tests/session.rs
+++ b/crates/dispatch/tests/session.rs
@@ -18,7 +18,9 @@
 }
 
 fn session() -> Session {
-    Session::new(1, SessionConfig::default(), 0, START)
+    let mut session = Session::new(1, SessionConfig::default(), 0, START);
+    session.record_report(Some(4_900), START);
+    session
 }
 
 fn listing_answer(clock: u64, running: &[u32], ended: &[(u64, u32, EndKind)]) -> OrderAnswer {
@@ -196,3 +198,23 @@
     let lost = lost.expect("the run was never given up");
     assert!(lost < 9_000, "given up after {lost} ms");
 }
+
+/// Guards against starts on capacity that a worker has no more.
+#[test]
+fn nothing_is_started_on_a_worker_that_has_not_reported_its_capacity_lately() {
+    let mut session = polled(&[]);
+    assert!(session.is_usable(START + ms(3)));
+    let late = START + ms(4_500);
+    let orders = session.poll(late);
+    let (poll, _) = orders.iter().find(|(_, o)| matches!(o, Order::Hold { .. })).unwrap();
+    session.answered(*poll, late, listing_answer(9_500, &[], &[]), late + ms(2));
+    assert!(!session.is_usable(late + ms(3)));
+    session.add_run(task(0), 1, late + ms(3));
+    let starts = |orders: &[(u64, Order)]| {
+        orders.iter().any(|(_, order)| matches!(order, Order::Start { .. }))
+    };
+    assert!(!starts(&session.poll(late + ms(4))));
+    session.record_report(Some(9_400), late + ms(5));
+    assert!(session.is_usable(late + ms(5)));
+    assert!(starts(&session.poll(late + ms(200))));
+}
--- a/crates/emulator/src/leader_loss.rs
+++ b/crates/emulator/src/leader_loss.rs
@@ -28,6 +28,7 @@
         self.node = Node::new(node_config(self.scenario), start);
         self.events.retain(|_, event| !matches!(event, Event::Input(_) | Event::Order(..)));
         self.inbox.clear();
+        self.repeat_reports();
         self.holds.fill(None);
         for i in again {
             self.schedule_after(NETWORK_DELAY, Event::Submit(i));
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod advice;
+mod heartbeats;
 mod leader_loss;
 mod load;
 mod orders;
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -2,6 +2,7 @@
 //! hosts and the network.
 
 use crate::advice::{is_eligible, AdviceService};
+use crate::heartbeats::FollowerReport;
 use crate::load::{arrivals, Arrival, Disturbances, ZonePartition, WARMUP};
 use crate::scenario::Scenario;
 use crate::summary::{summarize, JobTimes, Summary};
@@ -9,11 +10,11 @@
 use dispatch::SessionConfig;
 use jobs::{
     Configuration, EndKind, JobRequest, Phase, QueueAddress, RunNumber, ServicePolicy, StepRef,
-    TaskRef, WorkerInfo,
+    TaskRef,
 };
 use scheduler::{
-    Call, HostHeartbeat, Input, Node, NodeConfig, NodeConfigBuilder, OrderEnvelope, Output,
-    PeerMessage, StartState, WorkerHeartbeat,
+    Call, Input, Node, NodeConfig, NodeConfigBuilder, OrderEnvelope, Output, PeerMessage,
+    StartState,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,8 +24,6 @@
 pub(crate) const LEADER: &str = "10.0.0.1";
 /// One-way network delay between any two hosts.
 pub(crate) const NETWORK_DELAY: Duration = Duration::from_micros(700);
-const HOST_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
-const WORKER_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Number of zones; workers are assigned to them round robin.
 pub(crate) const ZONES: usize = 3;
 
@@ -82,6 +81,7 @@
     /// Members of each gang that have started, as worker and task.
     pub(crate) gangs: SortedMap<(StepRef, RunNumber), Vec<(usize, TaskRef)>>,
     pub(crate) advice: AdviceService,
+    pub(crate) follower_reports: Vec<FollowerReport>,
     /// Counts so far; `utilization` is in core-seconds until the end.
     pub(crate) summary: Summary,
     /// Number of the last call that was sent to the leader.
@@ -157,6 +157,7 @@
             holds: vec![None; scenario.workers],
             gangs: SortedMap::default(),
             advice: AdviceService::default(),
+            follower_reports: Vec::new(),
             summary: Summary::default(),
             last_call: 0,
             scenario,
@@ -228,13 +229,7 @@
                 }
             }
             Event::WorkerHeartbeat(worker) => self.send_worker_heartbeat(worker),
-            Event::HostHeartbeat(host) => {
-                let heartbeat =
-                    HostHeartbeat { process: 7, version: 1, draining: false, zone: "z0".into() };
-                let input = Input::Peer(host.clone(), PeerMessage::Heartbeat(heartbeat));
-                self.schedule_after(NETWORK_DELAY, Event::Input(input));
-                self.schedule_after(HOST_HEARTBEAT_INTERVAL, Event::HostHeartbeat(host));
-            }
+            Event::HostHeartbeat(host) => self.send_host_heartbeat(host),
             Event::Submit(i) => self.submit(i),
             Event::LeaderLoss => self.replace_leader(),
         }
@@ -339,28 +334,6 @@
         );
     }
 
-    fn send_worker_heartbeat(&mut self, i: usize) {
-        self.schedule_after(WORKER_HEARTBEAT_INTERVAL, Event::WorkerHeartbeat(i));
-        let info = WorkerInfo {
-            worker: format!("w{i}"),
-            born: 1_000,
-            service: self.scenario.queues[0].policy.service.clone(),
-            addr: format!("10.2.{}.{}:1", i / 250, i % 250),
-            zone: format!("z{}", i % ZONES),
-            capacity: self.scenario.capacity,
-            labels: vec!["a".into(), format!("r{}", i / self.scenario.workers_per_rack)],
-            draining: false,
-        };
-        let clock = Some(self.now.as_millis() as u64);
-        self.last_call += 1;
-        let call = Call::Heartbeat(Box::new(WorkerHeartbeat { info, clock }));
-        let deadline = self.now + Duration::from_secs(1);
-        self.schedule_after(
-            NETWORK_DELAY,
-            Event::Input(Input::Call(self.last_call, call, deadline)),
-        );
-    }
-
     /// Records the completion of jobs. Callers can see it after `delay`, the commit latency, and
     /// the network delay of their request.
     fn record_completed(&mut self, delay: Duration) {
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -1,6 +1,7 @@
 //! Clients' calls: forwarding them to the leader, and serving them as the leader.
 
 use crate::call::{Answer, Call, WorkerHeartbeat};
+use crate::capacity_reports::CapacityReport;
 use crate::group::{OnApplied, Origin};
 use crate::io::Output;
 use crate::message::PeerMessage;
@@ -284,6 +285,12 @@
         let mut delayed = false;
         if let (Some(life), Some(leader)) = (known.map(|life| life.id), &mut group.leader) {
             delayed = !leader.record_heartbeat(life, clock, now);
+            if unchanged && !delayed {
+                leader.record_report(life, clock, now);
+                let capacity = info.capacity;
+                let report = clock.map(|clock| CapacityReport { life, clock, capacity });
+                report.into_iter().for_each(|report| self.capacity_reports.record(report, now));
+            }
         }
         if unchanged || delayed {
             self.answer(origin, Ok(Answer::Done));
@@ -291,6 +298,9 @@
         }
         log::info!(worker = info.worker.as_str(), born = info.born, addr = info.addr.as_str(),
             draining = info.draining, known = known.is_some(); "worker registered or changed");
+        if let Some(leader) = self.leader_mut() {
+            leader.record_change(&info, clock);
+        }
         self.end_replaced_lives(&info);
         self.propose_for(origin, Command::UpdateWorker { info });
     }
--- a/crates/scheduler/src/follower_reads.rs
+++ b/crates/scheduler/src/follower_reads.rs
@@ -5,23 +5,20 @@
 //! what can't change any more: that a job is finished, or that a worker's heartbeat was applied.
 
 use crate::call::{Answer, Call};
+use crate::capacity_reports::CapacityReport;
 use crate::node::Node;
-use jobs::{LifeId, WorkerInfo};
+use jobs::WorkerInfo;
 use std::time::Duration;
 use types::{HostId, SortedMap, Timestamp};
 
 /// A follower answers only if it heard the leader within this time.
 const MAX_LEADER_AGE: Duration = Duration::from_secs(1);
-/// A follower forwards an unchanged heartbeat to the leader at least this often per worker.
-const HEARTBEAT_FORWARD_INTERVAL: Duration = Duration::from_secs(4);
 /// A follower that did not answer gets no reads for this long.
 const UNRESPONSIVE_FOR: Duration = Duration::from_secs(2);
 
 /// State of a host for sending reads to followers and answering them.
 #[derive(Debug, Default)]
 pub(crate) struct FollowerReads {
-    /// When each worker's heartbeat was last forwarded to the leader.
-    forwarded: SortedMap<LifeId, Timestamp>,
     /// Followers that did not answer, and until when they are skipped.
     unresponsive: SortedMap<HostId, Timestamp>,
     next_turn: usize,
@@ -70,14 +67,10 @@
                 let WorkerInfo { worker, born, .. } = &heartbeat.info;
                 let life =
                     state.find_life(worker, *born).filter(|life| life.info == heartbeat.info)?;
-                let forwarded = self.follower_reads.forwarded.get(&life.id);
-                let recently = forwarded.is_some_and(|at| now < *at + HEARTBEAT_FORWARD_INTERVAL);
-                if !recently {
-                    let id = life.id;
-                    self.follower_reads.forwarded.retain(|id, _| state.life(*id).is_some());
-                    self.follower_reads.forwarded.insert(id, now);
-                }
-                recently.then_some(Answer::Done)
+                let clock = heartbeat.clock?;
+                let report = CapacityReport { life: life.id, clock, capacity: life.info.capacity };
+                self.capacity_reports.record(report, now);
+                Some(Answer::Done)
             }
             _ => None,
         }
--- a/crates/scheduler/src/gossip.rs
+++ b/crates/scheduler/src/gossip.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Term of the last known leader; 0 if none was known.
+    pub(crate) fn leader_term(&self) -> Term {
+        self.leader.as_ref().map_or(0, |(term, _)| *term)
+    }
+
     /// Records the leader of a term. Returns whether the term is newer than the known one.
     fn record_leader(&mut self, term: Term, host: HostId) -> bool {
         let newer = self.leader.as_ref().is_none_or(|(known, _)| term > *known);
@@ -218,12 +223,14 @@
         if now < self.peers.next_heartbeat {
             return;
         }
-        let heartbeat = PeerMessage::Heartbeat(HostHeartbeat {
+        self.expire_capacity_reports();
+        let mut heartbeat = HostHeartbeat {
             process: self.process,
             version: if self.ask_for_whole_configuration { 0 } else { self.configuration.version },
             draining: self.draining,
             zone: self.cfg.zone.clone(),
-        });
+            capacities: Vec::new(),
+        };
         let leads = self.leads();
         if let Some(leader) = self.group.as_ref().and_then(|group| group.raft.leader_host()) {
             let term = self.group.as_ref().map_or(0, |group| group.raft.term());
@@ -244,13 +251,14 @@
         match self.peers.live_leader(now) {
             Some(leader) => {
                 self.peers.next_heartbeat = now + HEARTBEAT_INTERVAL;
-                self.send(&leader, heartbeat);
+                heartbeat.capacities = self.unsent_capacity_reports();
+                self.send(&leader, PeerMessage::Heartbeat(heartbeat));
             }
             None => {
                 self.peers.next_heartbeat = now + LEADERLESS_HEARTBEAT_INTERVAL;
                 let me = self.cfg.host.clone();
                 for host in self.peers.candidates().into_iter().filter(|host| *host != me) {
-                    self.send(&host, heartbeat.clone());
+                    self.send(&host, PeerMessage::Heartbeat(heartbeat.clone()));
                 }
             }
         }
@@ -286,7 +294,8 @@
     }
 
     fn on_host_heartbeat(&mut self, from: &HostId, heartbeat: HostHeartbeat) {
-        let HostHeartbeat { version, draining, zone, .. } = heartbeat;
+        let HostHeartbeat { version, draining, zone, capacities, .. } = heartbeat;
+        self.use_capacity_reports(capacities);
         let known = self.peers.by_host.get(from);
         let sending_until = known.filter(|p| p.version == version).and_then(|p| p.sending_until);
         let peer = Peer { last_heard: self.now, version, draining, zone, sending_until };
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -158,6 +158,7 @@
             log::info!(term = term, workers = leader.sessions.len(), steps = leader.ready.len();
                 "this host became leader");
             group.leader = Some(Box::new(leader));
+            self.use_capacity_reports(self.capacity_reports.newest());
         } else if led.is_some() && (!group.raft.is_leader() || led != Some(term)) {
             log::warn!(term = term; "this host lost leadership");
             group.leader = None;
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -8,9 +8,7 @@
 use crate::zones::Zones;
 use consensus::Term;
 use dispatch::{AdviceTracker, OrderId, RunTraits, Session};
-use jobs::{
-    Effect, EndKind, Job, LifeId, Progress, ResourceVector, RunNumber, State, StepRef, TaskRef,
-};
+use jobs::{Effect, EndKind, Job, LifeId, Progress, RunNumber, State, StepRef, TaskRef};
 use placement::speeds::Speeds;
 use placement::steps::{Claim, Urgency};
 use std::time::Duration;
@@ -76,7 +74,10 @@
     /// When this leader got the last heartbeat of each life; initially when its session began.
     pub(crate) last_heartbeat: SortedMap<LifeId, Timestamp>,
     /// The worker's clock in the newest heartbeat of each life, in milliseconds.
-    heartbeat_clocks: SortedMap<LifeId, u64>,
+    pub(crate) heartbeat_clocks: SortedMap<LifeId, u64>,
+    /// The worker's clock in a heartbeat that changes the replicated state, by the worker's name and
+    /// start, until the change is applied.
+    pub(crate) changing: SortedMap<(WorkerId, u64), Option<u64>>,
 }
 
 impl Leader {
@@ -106,6 +107,7 @@
             resolution_in_flight: false,
             last_heartbeat: SortedMap::default(),
             heartbeat_clocks: SortedMap::default(),
+            changing: SortedMap::default(),
         };
         for life in state.lives() {
             leader.begin_session(state, life.id, cfg, now);
@@ -140,27 +142,6 @@
         self.last_heartbeat.insert(id, now);
     }
 
-    /// Records a heartbeat. False if the worker has sent a newer one, which has arrived earlier.
-    pub(crate) fn record_heartbeat(
-        &mut self,
-        life: LifeId,
-        clock: Option<u64>,
-        now: Timestamp,
-    ) -> bool {
-        self.last_heartbeat.insert(life, now);
-        if let Some(clock) = clock {
-            let newest = self.heartbeat_clocks.get_or_insert_with(life, || clock);
-            if clock < *newest {
-                return false;
-            }
-            *newest = clock;
-        }
-        if let (Some(session), Some(clock)) = (self.sessions.get_mut(&life), clock) {
-            session.record_clock(clock, now);
-        }
-        true
-    }
-
     /// Whether a task of the job is known to have started: one has ended, or a worker reports one
     /// as running.
     pub(crate) fn has_begun(&self, job: &Job) -> bool {
@@ -217,6 +198,7 @@
                     if !self.sessions.contains_key(&id) {
                         self.begin_session(state, id, cfg, now);
                     }
+                    self.record_applied_change(state, id, now);
                     self.take_back_starts(state, id, now);
                     self.plan_due = true;
                 }
@@ -301,28 +283,6 @@
         }
     }
 
-    /// Stops runs that are not known to have started, the latest first, while a worker whose
-    /// capacity has shrunk has more assigned than it can hold.
-    fn take_back_starts(&mut self, state: &State, id: LifeId, now: Timestamp) {
-        let (Some(life), Some(session)) = (state.life(id), self.sessions.get_mut(&id)) else {
-            return;
-        };
-        let mut over = life.excess();
-        let unstarted = session.runs().filter(|run| run.working_since.is_none() && !run.stopping);
-        let unstarted: Vec<_> = unstarted.map(|run| (run.task, run.run)).collect();
-        for (task, run) in unstarted.into_iter().rev() {
-            if over == ResourceVector::default() {
-                return;
-            }
-            let found = life.runs.iter().find(|known| (known.task, known.run) == (task, run));
-            let Some(known) = found else { continue };
-            log::info!(job = hex(task.step.job).as_str(), step = task.step.step,
-                index = task.index, run = run, life = id; "start taken back: its worker has shrunk");
-            over = over.minus(&known.need);
-            session.stop_run(task, run, now);
-        }
-    }
-
     fn on_job_over(&mut self, state: &State, id: JobId, now: Timestamp) {
         log_job_over(state, id, now);
         self.stop_where(|task| task.step.job == id, now);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,6 +27,7 @@
 mod advice;
 mod call;
 mod calls;
+mod capacity_reports;
 mod config;
 mod config_changes;
 mod config_delivery;
@@ -48,6 +49,7 @@
 mod zones;
 
 pub use call::{Answer, Call, WorkerHeartbeat};
+pub use capacity_reports::CapacityReport;
 pub use config::{NodeConfig, NodeConfigBuilder, StartState};
 pub use config_changes::{ConfigurationEnd, ConfigurationPart};
 pub use io::{Input, OrderEnvelope, Output};
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between hosts.
 
 use crate::call::{Answer, Call};
+use crate::capacity_reports::CapacityReport;
 use crate::config_changes::ConfigurationPart;
 use crate::io::OrderEnvelope;
 use consensus::{Config, Entry, Envelope, Message, Payload, Term};
@@ -10,7 +11,7 @@
 use types::{HostId, MemberId, Refusal, Version, WorkerId, ZoneName};
 
 /// Version of the protocol between hosts, exchanged when a connection opens.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// Heartbeat that a host sends to the leader, or to all known members and seeds while it knows no
 /// leader.
@@ -24,6 +25,8 @@
     pub draining: bool,
     /// Availability zone of the sender.
     pub zone: ZoneName,
+    /// Reports of workers that the sender has got since its last heartbeat to the leader.
+    pub capacities: Vec<CapacityReport>,
 }
 
 /// A message between hosts.
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -1,6 +1,7 @@
 //! The state machine of one host, without I/O.
 
 use crate::calls::OpenCall;
+use crate::capacity_reports::CapacityReports;
 use crate::config::{NodeConfig, StartState};
 use crate::config_changes::{ChangeLog, IncomingConfiguration};
 use crate::follower_reads::FollowerReads;
@@ -91,6 +92,7 @@
     pub(crate) next_announcement: Timestamp,
     pub(crate) peers: PeerTable,
     pub(crate) follower_reads: FollowerReads,
+    pub(crate) capacity_reports: CapacityReports,
     /// Open calls of this host's clients, by number.
     pub(crate) calls: SortedMap<u64, OpenCall>,
     /// Numbers of the open calls, by exchange.
@@ -136,6 +138,7 @@
             next_announcement: start.now,
             peers,
             follower_reads: FollowerReads::default(),
+            capacity_reports: CapacityReports::default(),
             calls: SortedMap::default(),
             call_by_exchange: SortedMap::default(),
             // A random base keeps numbers of an earlier process from being used again.
--- a/crates/scheduler/tests/shrinking_capacity.rs
+++ b/crates/scheduler/tests/shrinking_capacity.rs
@@ -6,7 +6,7 @@
 use dispatch::InjectedBug;
 use jobs::{Phase, ResourceVector, StepSpec};
 use std::time::Duration;
-use world::{World, WORKERS};
+use world::{World, DISKS, WORKERS};
 
 const FULL: ResourceVector = ResourceVector { cpu: 8_000, memory: 8_192, gpu: 0 };
 const HALF: ResourceVector = ResourceVector { cpu: 4_000, memory: 8_192, gpu: 0 };
@@ -84,3 +84,54 @@
     world.run_until(world.now + 200);
     assert_eq!(world.jobs[&1].shown, Some(Phase::Complete));
 }
+
+/// Guards against workers that are left idle because a member answers their heartbeats.
+#[test]
+fn work_starts_while_another_member_answers_the_heartbeats() {
+    let mut world = started_world(74);
+    let leader = world.leader().unwrap();
+    world.heartbeat_host = Some((leader + 1) % DISKS);
+    world.run_until(world.now + 10_000);
+    for id in 1..=WORKERS as u64 {
+        world.submit_steps(id, false, vec![step(2, 4_000)]);
+        world.run_until(world.now + 100);
+    }
+    world.run_until(world.now + 100);
+    // A run that fails is started again.
+    assert!(world.starts >= 2 * WORKERS as u64, "{} starts", world.starts);
+}
+
+/// Guards against a new leader that waits until all workers have reported to it.
+#[test]
+fn a_new_leader_uses_the_reports_that_other_members_have_got() {
+    for seed in 75..85 {
+        let mut world = started_world(seed);
+        let leader = world.leader().unwrap();
+        world.heartbeat_host = Some((leader + 1) % DISKS);
+        world.run_until(world.now + 3_000);
+        // From now on the workers' heartbeats are lost, as their host is down.
+        world.heartbeat_host = Some(leader);
+        world.kill(leader);
+        while world.leader().is_none() {
+            world.run_until(world.now + 10);
+        }
+        world.submit_steps(1, false, vec![step(2, 4_000)]);
+        world.run_until(world.now + 800);
+        assert!(world.starts >= 2, "seed {seed}: {} starts", world.starts);
+    }
+}
+
+/// Guards against a worker that gets nothing before the second heartbeat of its life.
+#[test]
+fn a_worker_that_comes_back_gets_work_at_once() {
+    let mut world = started_world(86);
+    world.crashes.renames = true;
+    (0..WORKERS).for_each(|w| world.crash_worker(w));
+    world.run_until(world.now + 3_000);
+    world.submit_steps(1, false, vec![step(2, 4_000)]);
+    world.run_until(world.now + 500);
+    assert_eq!(world.starts, 0);
+    (0..WORKERS).for_each(|w| world.restart_worker(w));
+    world.run_until(world.now + 300);
+    assert!(world.starts >= 2, "{} starts", world.starts);
+}
--- a/crates/scheduler/tests/world/crashes.rs
+++ b/crates/scheduler/tests/world/crashes.rs
@@ -95,6 +95,9 @@
     /// The host that gets a worker's heartbeat: any, or one that answers, if there is one.
     pub(super) fn host_for_heartbeat(&mut self) -> usize {
         let any = self.any_of_group();
+        if let Some(host) = self.heartbeat_host {
+            return host;
+        }
         let answers = |i: &usize| self.is_running(*i) && !self.cut.contains(i);
         match self.crashes.repeats_heartbeats && !answers(&any) {
             true => self.group.iter().copied().find(answers).unwrap_or(any),
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -143,6 +143,8 @@
     pub(crate) cut: BTreeSet<usize>,
     /// Workers that no host can reach.
     pub(crate) cut_workers: BTreeSet<usize>,
+    /// The host that gets all heartbeats of workers, if they are not spread over the group.
+    pub(crate) heartbeat_host: Option<usize>,
     /// Percentage of orders that get no answer and are carried out late.
     pub(crate) late_orders: u32,
     pub(crate) jobs: BTreeMap<JobId, JobRecord>,
@@ -238,6 +240,7 @@
             seeds: (0..DISKS).collect(),
             cut: BTreeSet::new(),
             cut_workers: BTreeSet::new(),
+            heartbeat_host: None,
             late_orders: 0,
             jobs: BTreeMap::new(),
             requests: BTreeMap::new(),
