Count crashes that a later life or another leader has seen, and give up after three

Change: three crashes, so that one counted by mistake does no harm; four if it is not certain that the task had started. Listed runs that are not assigned, tasks held back for the worker, and runs for which another life may have answered count. The history tests print the hosts' log lines with EBONYWALK_LOG=1. Cost: a deadly task takes three workers down instead of two.

--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -179,23 +179,33 @@
     }
 
     /// What is known of each run that the worker may have started and that has not ended, in case
-    /// the worker is gone.
+    /// the worker is gone. Runs that it lists without being assigned them are among these.
     pub fn evidence(&self) -> Vec<RunEvidence> {
         let may_run = |entry: &&RunEntry| {
             let sent = entry.sent_at.is_some() || !self.leader_accepted;
-            entry.stage != Stage::Stopped && (entry.started || sent)
+            entry.started || (sent && entry.stage != Stage::Stopped)
         };
         let last_answer = self.last_answer.unwrap_or_default();
         let evidence = |entry: &RunEntry| RunEvidence {
             task: entry.task,
             run: entry.run,
-            started: entry.started,
+            started: entry.started && entry.stage != Stage::Stopped,
+            by_other_life: entry.stage == Stage::Stopped
+                || (!entry.started && entry.working_since.is_some()),
             outlived: match entry.working_since {
                 Some(since) if entry.started => last_answer.saturating_sub(since),
                 _ => Duration::ZERO,
             },
         };
-        self.runs.iter().filter(may_run).map(evidence).collect()
+        let assigned = self.runs.iter().filter(may_run).map(evidence);
+        let unknown = self.unknown_runs.iter().map(|(task, run, _)| RunEvidence {
+            task: *task,
+            run: *run,
+            started: true,
+            by_other_life: false,
+            outlived: Duration::ZERO,
+        });
+        assigned.chain(unknown).collect()
     }
 
     /// Whether the worker has listed its runs since the last unanswered order.
--- a/crates/dispatch/src/session/run.rs
+++ b/crates/dispatch/src/session/run.rs
@@ -94,6 +94,9 @@
     pub run: RunNumber,
     /// Whether the worker is known to have started the run. Otherwise it may have.
     pub started: bool,
+    /// Whether another life of the worker has or may have answered for the run: it acknowledged the
+    /// start, or a stop whose end was not listed.
+    pub by_other_life: bool,
     /// How long the run had been running at the worker's last sign of life.
     pub outlived: Duration,
 }
--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -4,14 +4,12 @@
 use serde::{Deserialize, Serialize};
 use types::SortedMap;
 
-/// A task is given up after this many crashes that it may have caused if it was the only suspect of
-/// the last.
-const SUSPECTED_CRASHES_TO_GIVE_UP: u32 = 2;
-/// A task is given up after this many crashes although others may have caused them.
+/// A task is given up after this many crashes that it may have caused. One of them may be counted by
+/// mistake: a task that has ended counts as running while its worker could not report the end.
 const CRASHES_TO_GIVE_UP: u32 = 3;
 /// A task is given up after this many crashes although it is not certain that it had started before
 /// each of them: a worker may have crashed before it got the order.
-pub(crate) const UNCERTAIN_CRASHES_TO_GIVE_UP: u32 = 5;
+pub(crate) const UNCERTAIN_CRASHES_TO_GIVE_UP: u32 = 4;
 /// From this many crashes on a run counts as a suspect for as long as it lasts.
 const CRASHES_TO_STAY_SUSPECT: u32 = 2;
 
@@ -20,7 +18,7 @@
 pub struct CrashedRun {
     /// Task that the run executed.
     pub task: TaskRef,
-    /// Number of the run.
+    /// Number of the run; 0 if only the task is known.
     pub run: RunNumber,
     /// Whether the worker is known to have started the run. Otherwise it may have.
     pub started: bool,
@@ -63,19 +61,15 @@
         self.suspected > 0 || self.stays_suspect()
     }
 
-    /// Whether the task is given up after a crash that it may have caused. `alone` says that no
-    /// other job may have caused it.
+    /// Whether the task is given up after a crash that it may have caused.
     ///
     /// ```
-    /// let twice = jobs::TaskCrashes { certain: 2, suspected: 2, possible: 0 };
-    /// assert!(twice.is_enough(true) && !twice.is_enough(false));
+    /// use jobs::TaskCrashes;
+    /// assert!(!TaskCrashes { certain: 2, suspected: 2, possible: 1 }.is_enough());
+    /// assert!(TaskCrashes { certain: 3, suspected: 1, possible: 0 }.is_enough());
     /// ```
-    pub fn is_enough(&self, alone: bool) -> bool {
-        let needed = SUSPECTED_CRASHES_TO_GIVE_UP;
-        let only_suspect = alone && self.certain >= needed && self.suspected >= needed;
-        only_suspect
-            || self.certain >= CRASHES_TO_GIVE_UP
-            || self.total() >= UNCERTAIN_CRASHES_TO_GIVE_UP
+    pub fn is_enough(&self) -> bool {
+        self.certain >= CRASHES_TO_GIVE_UP || self.total() >= UNCERTAIN_CRASHES_TO_GIVE_UP
     }
 }
 
--- a/crates/jobs/src/state/crashes.rs
+++ b/crates/jobs/src/state/crashes.rs
@@ -84,10 +84,9 @@
         let mut jobs: Vec<JobId> = suspects().map(|crashed| crashed.task.step.job).collect();
         jobs.sort_unstable();
         jobs.dedup();
-        let alone = jobs.len() == 1;
         for id in jobs {
             let mut tasks = suspects().map(|crashed| crashed.task).filter(|t| t.step.job == id);
-            let Some(task) = tasks.find(|task| self.task_crashes(*task).is_enough(alone)) else {
+            let Some(task) = tasks.find(|task| self.task_crashes(*task).is_enough()) else {
                 continue;
             };
             effects.push(Effect::GivenUp { task, crashes: self.task_crashes(task) });
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -120,7 +120,8 @@
 }
 
 /// The runs that a worker had started or may have started when it crashed. Suspects are those that
-/// had only just begun; without such, those of which nobody knows whether they had begun.
+/// had only just begun; without such, those of which nobody knows whether they had begun. Tasks that
+/// are held back for the worker may have begun too, by orders to its earlier life.
 fn crashed_runs(session: &Session, state: &State) -> Vec<CrashedRun> {
     let evidence = session.evidence();
     let is_recent = |run: &RunEvidence| {
@@ -133,9 +134,19 @@
         task: run.task,
         run: run.run,
         started: run.started,
-        suspect: if any_recent { is_recent(run) } else { !(any_unknown && run.started) },
+        suspect: match any_recent {
+            true => is_recent(run) || run.by_other_life,
+            false => !(any_unknown && run.started),
+        },
     };
-    evidence.iter().map(crashed).collect()
+    let mut runs: Vec<CrashedRun> = evidence.iter().map(crashed).collect();
+    let held = state.in_doubt_starts().iter().filter(|held| held.worker == session.worker());
+    for held in held {
+        if !runs.iter().any(|known| known.task == held.task) {
+            runs.push(CrashedRun { task: held.task, run: 0, started: false, suspect: true });
+        }
+    }
+    runs
 }
 
 /// Limit on the suspects named in a log line.
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -2,6 +2,7 @@
 //! oracle that checks every start. All times are in milliseconds.
 
 mod crashes;
+mod logger;
 pub(crate) mod losses;
 pub(crate) mod replacements;
 mod runs;
@@ -223,6 +224,7 @@
         clocks_ahead: [u64; HOSTS],
         tuning: Tuning,
     ) -> World {
+        logger::init();
         let mut rng = fastrand::Rng::with_seed(seed);
         let workers = (0..WORKERS)
             .map(|i| Worker::new(&format!("w{i}"), 1_000, rng.u64(980..=1_000)))
