Send a request that two upstreams have not answered to no third one

Cause: of an idempotent request's attempts, up to three, only the retry budget limited how many upstreams it could take down, and the budget counts all requests together. Change: after two attempts without a whole answer the request ends, with the outcome unknown and a time to come back. The test sent a third attempt before.

--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -16,6 +16,9 @@
 const RESERVED_ONE_IN: u32 = 4;
 /// At most one upstream in this many of a service is ejected at a time.
 const EJECTED_ONE_IN: usize = 3;
+/// A request that this many upstreams have not answered is not sent to another one: it may be what
+/// makes them fail.
+const MAX_LOST_ATTEMPTS: u32 = 2;
 /// Shortest retry delay that a caller is told.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest retry delay that a caller is told.
@@ -133,8 +136,8 @@
     sent: Option<(UpstreamId, Timestamp)>,
     /// Upstreams of earlier attempts, sorted.
     tried: Vec<UpstreamId>,
-    /// An upstream may have run the request in an earlier attempt.
-    maybe_ran: bool,
+    /// Upstreams that may have run the request and gave no whole answer.
+    lost: u32,
 }
 
 /// Snapshot of one service's state, for status and metrics.
@@ -218,8 +221,7 @@
         self.budget.record_request();
         let entry = self.services.get_mut(&service).expect("inserted above");
         entry.queue.push(class, request.deadline, exchange);
-        let open =
-            OpenRequest { request, attempts: 0, sent: None, tried: Vec::new(), maybe_ran: false };
+        let open = OpenRequest { request, attempts: 0, sent: None, tried: Vec::new(), lost: 0 };
         self.requests.insert(exchange, open);
         self.send_waiting(now, &service)
     }
@@ -278,7 +280,7 @@
             return Vec::new();
         }
         let Some((upstream, sent)) = open.sent.take() else { return Vec::new() };
-        open.maybe_ran |= result == AttemptResult::Lost;
+        open.lost += u32::from(result == AttemptResult::Lost);
         if let Err(i) = open.tried.binary_search(&upstream) {
             open.tried.insert(i, upstream.clone());
         }
@@ -361,11 +363,13 @@
         let open = self.requests.get(&exchange).expect("the caller looked the request up");
         let injected_bug = self.cfg.injected_bug;
         let safe =
-            !open.maybe_ran || open.request.idempotent || injected_bug == InjectedBug::RetryLost;
+            open.lost == 0 || open.request.idempotent || injected_bug == InjectedBug::RetryLost;
+        let unlimited = injected_bug == InjectedBug::UnlimitedRetries;
         let in_time = now + MIN_ATTEMPT_TIME < open.request.deadline;
         let attempts_left = open.attempts < self.cfg.max_attempts;
-        let may_retry = safe && in_time && attempts_left;
-        if may_retry && (injected_bug == InjectedBug::UnlimitedRetries || self.budget.try_spend()) {
+        let harmless = open.lost < MAX_LOST_ATTEMPTS || unlimited;
+        let may_retry = safe && harmless && in_time && attempts_left;
+        if may_retry && (unlimited || self.budget.try_spend()) {
             let request = &open.request;
             let service =
                 self.services.get_mut(&request.service).expect("a request's service exists");
@@ -383,7 +387,7 @@
     /// Ends a request without an answer from an upstream.
     fn fail(&mut self, now: Timestamp, exchange: ExchangeId, reason: String) -> Vec<Action> {
         let Some(open) = self.requests.remove(&exchange) else { return Vec::new() };
-        let outcome = if open.maybe_ran { Outcome::Unknown } else { Outcome::NotRun };
+        let outcome = if open.lost > 0 { Outcome::Unknown } else { Outcome::NotRun };
         let service = self.services.get(&open.request.service);
         let wait = service.map_or(MIN_RETRY_AFTER, |service| {
             self.expected_wait(now, service, open.request.class)
--- a/crates/routing/tests/requests.rs
+++ b/crates/routing/tests/requests.rs
@@ -96,6 +96,18 @@
     assert_eq!(outcome(&actions), Some(Outcome::Unknown));
 }
 
+/// Guards against a request that makes one upstream after the other fail.
+#[test]
+fn a_request_that_two_upstreams_have_not_answered_is_not_sent_to_a_third() {
+    let mut r = router(InjectedBug::None, 3, 4);
+    fill_retry_budget(&mut r, 100);
+    r.submit(at(1), request(1, Class::Interactive, true));
+    assert_eq!(sent(&r.finish_attempt(at(2), 1, 1, AttemptResult::Lost)), [(1, 2)]);
+    let actions = r.finish_attempt(at(3), 1, 2, AttemptResult::Lost);
+    assert_eq!(sent(&actions), []);
+    assert_eq!(outcome(&actions), Some(Outcome::Unknown));
+}
+
 /// Sends 5000 requests whose attempts are all lost and returns retries per request.
 fn retry_load(injected_bug: InjectedBug) -> f64 {
     let mut r = router(injected_bug, 5, 1_000);
