Native cell: tell crashes from cuts by the worker's process, and give up after three

Cause: a registration of the next incarnation counted as a crash, but a worker that was cut off registers again as well, and so does one that got no answer to its registration; silence counted as a crash in the end. Change: a registration names the first incarnation of the worker's process, so that the state can tell: a process that has registered before has not crashed. What ran on a worker when it fell silent is kept until its next registration says whether it had crashed; meanwhile a task that may have crashed four workers waits, for 300 s at most. Three crashes give a task up, as for staged jobs. Left out, the first incarnation is the one registered.

--- a/crates/daemon/src/http/platform.rs
+++ b/crates/daemon/src/http/platform.rs
@@ -7,7 +7,7 @@
 use state::WorkerSpec;
 use std::sync::Arc;
 use tide::Request;
-use types::{Incarnation, Refusal, UpstreamId};
+use types::{Incarnation, Refusal, Resources, UpstreamId, WorkerId};
 
 pub(crate) fn app(shared: Arc<Shared>) -> tide::Server<Arc<Shared>> {
     let mut app = tide::with_state(shared);
@@ -18,6 +18,17 @@
     app
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Registration {
+    worker: WorkerId,
+    rack: String,
+    capacity: Resources,
+    incarnation: Incarnation,
+    /// First incarnation of the worker's process; this one if left out.
+    first_incarnation: Option<Incarnation>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Leave {
@@ -37,8 +48,14 @@
 }
 
 async fn register(mut req: Request<Arc<Shared>>) -> tide::Result {
-    let parsed: Result<WorkerSpec, Refusal> = body::read_json(&mut req).await;
-    call(req, parsed.map(|spec| Call::Group(GroupCall::Register(spec)))).await
+    let parsed: Result<Registration, Refusal> = body::read_json(&mut req).await;
+    let register = parsed.map(|registration| {
+        let Registration { worker, rack, capacity, incarnation, first_incarnation } = registration;
+        let first = first_incarnation.unwrap_or(incarnation);
+        let spec = WorkerSpec { worker, rack, capacity, incarnation };
+        Call::Group(GroupCall::Register { spec, first })
+    });
+    call(req, register).await
 }
 
 async fn heartbeat(mut req: Request<Arc<Shared>>) -> tide::Result {
--- a/crates/host/examples/slopes.rs
+++ b/crates/host/examples/slopes.rs
@@ -45,12 +45,13 @@
     }
 
     fn register(&mut self, i: usize) {
-        self.call(GroupCall::Register(WorkerSpec {
+        let spec = WorkerSpec {
             worker: format!("w{i:06}"),
             rack: format!("r{}", i / 8),
             capacity: Resources { cpu: 30_000, memory: 130 << 30, accelerators: 2 },
             incarnation: 1,
-        }));
+        };
+        self.call(GroupCall::Register { first: spec.incarnation, spec });
     }
 
     fn submit(&mut self, i: usize) {
--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -40,7 +40,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum GroupCall {
     /// Registers a new incarnation of a worker.
-    Register(WorkerSpec),
+    Register {
+        /// What the worker reports.
+        spec: WorkerSpec,
+        /// First incarnation of the worker's process.
+        first: Incarnation,
+    },
     /// Renews a worker's lease and returns its instructions.
     Heartbeat(Heartbeat),
     /// Submits a job.
--- a/crates/host/src/calls.rs
+++ b/crates/host/src/calls.rs
@@ -129,7 +129,7 @@
     /// The group whose leader answers a call.
     fn group_of(&self, call: &GroupCall) -> GroupId {
         match call {
-            GroupCall::Register(_) | GroupCall::Heartbeat(_) => {
+            GroupCall::Register { .. } | GroupCall::Heartbeat(_) => {
                 GroupId::Zone(self.cfg.zone.clone())
             }
             GroupCall::Submit(spec) => {
@@ -273,9 +273,13 @@
     fn handle_call(&mut self, id: &GroupId, call: GroupCall, origin: Origin) {
         let at = self.now;
         match call {
-            GroupCall::Register(spec) => {
+            GroupCall::Register { spec, first } => {
                 let completion = Completion::Registered(spec.worker.clone(), origin);
-                self.propose(id, ZoneCommand::Register { spec, at }, completion);
+                let command = match first < spec.incarnation {
+                    true => ZoneCommand::RegisterAgain { spec, first, at },
+                    false => ZoneCommand::Register { spec, at },
+                };
+                self.propose(id, command, completion);
             }
             GroupCall::Heartbeat(heartbeat) => self.handle_heartbeat(id, heartbeat, origin),
             GroupCall::Submit(spec) => match self.check_submission(id, &spec) {
--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -45,7 +45,7 @@
     }
     let decoded = postcard::from_bytes(data);
     // Snapshots of earlier releases lack the last part of a zone's state, which was empty.
-    let extended = || postcard::from_bytes(&[data, &[0]].concat());
+    let extended = || postcard::from_bytes(&[data, &[0, 0]].concat());
     decoded.or_else(|_| extended()).expect("snapshots are written by this program")
 }
 
--- a/crates/host/src/leader.rs
+++ b/crates/host/src/leader.rs
@@ -148,7 +148,8 @@
             // An all-at-once job is startable only while none of its tasks runs.
             Some(job) if is_startable(zone, job) => {
                 let apart = zone.is_kept_apart(id, now);
-                self.planner.upsert_job(JobView { apart, ..job_view(id, job) });
+                let held_until = zone.held_until(id, job);
+                self.planner.upsert_job(JobView { apart, held_until, ..job_view(id, job) });
             }
             _ => self.planner.remove_job(id),
         }
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -8,7 +8,7 @@
 use types::{MemberId, Refusal, Release, ReleaseNote, Version, ZoneName};
 
 /// Version of the protocol between hosts, exchanged when a connection opens.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 
 /// Identifies a replicated group.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/host/tests/world/mod.rs
+++ b/crates/host/tests/world/mod.rs
@@ -205,6 +205,12 @@
         self.oracle.host_died(&self.nodes[i].name);
     }
 
+    /// All hosts lose power for a moment.
+    pub(crate) fn kill_all(&mut self) {
+        (0..HOSTS).for_each(|i| self.kill(i));
+        (0..HOSTS).for_each(|i| self.start(i));
+    }
+
     /// Begins a planned stop of a host, which transfers its leaderships at once.
     pub(crate) fn drain(&mut self, i: usize) {
         self.input(i, Input::Drain);
--- a/crates/host/tests/world/oracle.rs
+++ b/crates/host/tests/world/oracle.rs
@@ -9,6 +9,12 @@
 /// An upstream that left gets no new requests from any host after this time, unless links are cut.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 
+/// After this many crashes a task that causes them may be started only [`STARTS_LEFT`] times more.
+const CRASHES_TO_STOP: u32 = 3;
+const STARTS_LEFT: u32 = 2;
+/// Prefix of the tasks that crash their workers.
+pub(crate) const DEADLY: &str = "t/deadly";
+
 #[derive(Default)]
 pub(crate) struct Oracle {
     /// The first violated invariant.
@@ -23,6 +29,10 @@
     not_run_exchanges: BTreeSet<ExchangeId>,
     in_flight: BTreeMap<(String, String), u32>,
     restarts: BTreeMap<String, u64>,
+    /// Crashes of workers that ran a task at that time.
+    crashes: BTreeMap<String, u32>,
+    /// Starts of a task that crashes its workers, after [`CRASHES_TO_STOP`] crashes.
+    starts_after: BTreeMap<String, u32>,
     versions: BTreeMap<String, u64>,
     digests: BTreeMap<u64, String>,
     accepted: BTreeMap<String, (u64, String)>,
@@ -54,6 +64,13 @@
         if task.starts_with("t/once") && !self.began_once.insert(task.to_string()) {
             self.report(format!("unrepeatable {task} began twice, now on {worker}"));
         }
+        if task.starts_with(DEADLY) && self.crashes_under(task) >= CRASHES_TO_STOP {
+            let starts = self.starts_after.entry(task.to_string()).or_default();
+            *starts += 1;
+            if *starts > STARTS_LEFT {
+                self.report(format!("{task} was started too often after it had crashed workers"));
+            }
+        }
         self.live.insert((worker.to_string(), fence), (task.to_string(), *size));
         let here = self.live.iter().filter(|((w, _), _)| w == worker);
         let held = here.fold(Resources::default(), |sum, (_, (_, r))| sum.checked_add(r).unwrap());
@@ -62,6 +79,19 @@
         }
     }
 
+    pub(crate) fn crashed_under(&mut self, task: &str) {
+        *self.crashes.entry(task.to_string()).or_default() += 1;
+    }
+
+    pub(crate) fn crashes_under(&self, task: &str) -> u32 {
+        self.crashes.get(task).copied().unwrap_or(0)
+    }
+
+    /// Number of crashes in all.
+    pub(crate) fn crashes(&self) -> u32 {
+        self.crashes.values().sum()
+    }
+
     pub(crate) fn ended(&mut self, worker: &str, fence: Fence) {
         self.live.remove(&(worker.to_string(), fence));
     }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -9,8 +9,8 @@
 use async_std::task;
 use client::{Client, ErrorKind};
 use host::{Heartbeat, HeartbeatResponse, StartRun};
-use serde_json::Value;
-use state::{RunEnd, WorkerSpec};
+use serde_json::{json, Value};
+use state::RunEnd;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -108,6 +108,7 @@
 
     async fn run_heartbeats(self) {
         let mut incarnation: Incarnation = 0;
+        let mut first: Option<Incarnation> = None;
         let mut turn = 0;
         while !self.is_disconnected() {
             if std::mem::take(&mut self.life().lease_expired) {
@@ -115,7 +116,7 @@
             }
             let host = self.entry_hosts[turn % self.entry_hosts.len()].clone();
             if incarnation == 0 {
-                incarnation = self.register(&host).await.unwrap_or(0);
+                incarnation = self.register(&host, &mut first).await.unwrap_or(0);
                 if incarnation == 0 {
                     turn += 1;
                     task::sleep(HEARTBEAT_PAUSE * 4).await;
@@ -137,17 +138,23 @@
         }
     }
 
-    async fn register(&self, host: &Client) -> Option<Incarnation> {
+    /// Registers a new incarnation; `first` is the first one of this process.
+    async fn register(
+        &self,
+        host: &Client,
+        first: &mut Option<Incarnation>,
+    ) -> Option<Incarnation> {
         self.end_all();
         *self.life() = LifeState::default();
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let incarnation = since.unwrap_or_default().as_millis() as Incarnation;
-        let spec = WorkerSpec {
-            worker: self.options.name.clone(),
-            rack: self.options.rack.clone(),
-            capacity: self.options.capacity,
-            incarnation,
-        };
+        let spec = json!({
+            "worker": self.options.name,
+            "rack": self.options.rack,
+            "capacity": self.options.capacity,
+            "incarnation": incarnation,
+            "first_incarnation": first.get_or_insert(incarnation),
+        });
         host.post::<_, Value>("/v1/workers", &spec).await.ok()?;
         Some(incarnation)
     }
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -162,6 +162,16 @@
         /// Idempotency records from before this time are removed.
         records_before: Timestamp,
     },
+    /// Registers a new incarnation of a worker whose process has registered before, unless it was the
+    /// registration that did not arrive. Runs of the last incarnation have ended with its lease.
+    RegisterAgain {
+        /// What the worker reports.
+        spec: WorkerSpec,
+        /// First incarnation of the worker's process.
+        first: Incarnation,
+        /// Time of the registration.
+        at: Timestamp,
+    },
 }
 
 /// The result of a command, returned to its proposer.
--- a/crates/state/src/place.rs
+++ b/crates/state/src/place.rs
@@ -62,7 +62,7 @@
     fn place_one(&mut self, placement: &Placement, at: Timestamp) -> Option<Fence> {
         let job = self.jobs.get(&placement.job)?;
         let shares = self.may_share(&placement.worker, placement.job, at);
-        if at < job.held_until || self.waits_for_predecessor(job) || !shares {
+        if at < self.held_until(placement.job, job) || self.waits_for_predecessor(job) || !shares {
             return None;
         }
         let resources = job.spec.resources;
--- a/crates/state/src/zone.rs
+++ b/crates/state/src/zone.rs
@@ -1,7 +1,7 @@
 //! The replicated state of a zone, and how each command changes it.
 
 use crate::command::{Effects, EndedRun, InjectedBug, Reply, RunEnd, WorkerSpec, ZoneCommand};
-use crate::crashes::JobLosses;
+use crate::crashes::Losses;
 use crate::job::{Job, JobStatus, Run};
 use crate::record::{Owner, Record, RecordAnswer, RecordPhase, StoredOutcome};
 use crate::worker::{Worker, WorkerStatus};
@@ -24,7 +24,7 @@
     pub(crate) last_job: JobId,
     pub(crate) last_fence: Fence,
     /// Last, since snapshots of earlier releases end before it.
-    pub(crate) losses: SortedMap<JobId, JobLosses>,
+    pub(crate) losses: Losses,
     #[serde(skip)]
     pub(crate) injected_bug: InjectedBug,
 }
@@ -86,7 +86,13 @@
     pub fn apply(&mut self, command: ZoneCommand) -> (Reply, Effects) {
         let mut effects = Effects::default();
         let reply = match command {
-            ZoneCommand::Register { spec, at } => self.register(spec, at, &mut effects),
+            ZoneCommand::Register { spec, at } => {
+                let first = spec.incarnation;
+                self.register(spec, first, at, &mut effects)
+            }
+            ZoneCommand::RegisterAgain { spec, first, at } => {
+                self.register(spec, first, at, &mut effects)
+            }
             ZoneCommand::WorkerLost { worker, incarnation, at } => {
                 self.lose_worker(&worker, incarnation, at, &mut effects)
             }
@@ -122,7 +128,13 @@
         (reply, effects)
     }
 
-    fn register(&mut self, spec: WorkerSpec, at: Timestamp, effects: &mut Effects) -> Reply {
+    fn register(
+        &mut self,
+        spec: WorkerSpec,
+        first: Incarnation,
+        at: Timestamp,
+        effects: &mut Effects,
+    ) -> Reply {
         let WorkerSpec { worker: id, rack, capacity, incarnation } = spec;
         effects.workers.push(id.clone());
         let Some(worker) = self.workers.get(&id) else {
@@ -148,9 +160,12 @@
         }
         // The runs of the previous incarnation did not survive.
         let (running, planned) = (self.tasks_on(&id), worker.draining);
+        let lives_on = first <= worker.incarnation;
         self.lose_runs(&id, at, effects);
-        if !planned {
-            self.record_loss(&running, true, at, effects);
+        if planned || lives_on {
+            self.forget_silence(&id);
+        } else {
+            self.record_crash(&id, running, at, effects);
         }
         let worker = self.workers.get_mut(&id).expect("looked up above");
         worker.start_incarnation(rack, capacity, incarnation);
@@ -171,7 +186,7 @@
         effects.workers.push(id.clone());
         let running = self.tasks_on(id);
         self.lose_runs(id, at, effects);
-        self.record_loss(&running, false, at, effects);
+        self.record_silence(id, running, at);
         let worker = self.workers.get_mut(id).expect("looked up above");
         worker.lost_at = Some(at);
         Reply::Done
