Log why an upstream's answer was lost

Seen: a_rolling_restart_cuts_no_request_off failed once beside load with 504, and the host's log did not say why. Change: an attempt without a complete answer is logged with its cause, at warn; one that was not sent, at debug as before.

--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -57,12 +57,13 @@
                 Some(response) => classify(response),
                 None => (AttemptResult::Lost, None),
             },
-            Err(e) => {
-                log::debug!(upstream = upstream.as_str(); "{e}");
-                match e {
-                    ExchangeError::NotSent(_) => (AttemptResult::NotSent, None),
-                    ExchangeError::Lost(_) => (AttemptResult::Lost, None),
-                }
+            Err(ExchangeError::NotSent(cause)) => {
+                log::debug!(upstream = upstream.as_str(); "request not sent: {cause}");
+                (AttemptResult::NotSent, None)
+            }
+            Err(ExchangeError::Lost(cause)) => {
+                log::warn!(upstream = upstream.as_str(); "no complete answer: {cause}");
+                (AttemptResult::Lost, None)
             }
         }
     }
