Take a refused connection for a sign that the worker has crashed, and give up after two such crashes

Cause: a crash and a cut looked the same to the leader, so that one crash in three had to be counted as a mistake. Change: orders that a host refuses to connect for are answered as absent. A worker that is absent within 500 ms after its last answer has crashed for sure, with what it was running; two such crashes are enough if no other job may have caused the last. All others still need three.

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -23,6 +23,10 @@
     /// Why an exchange brought no response.
     #[derive(Debug)]
     pub enum ExchangeError {
+        /// The server's host refused the connection: no process listens there.
+        Refused(cause: String) {
+            display("refused: {}", cause)
+        }
         /// No byte of the request was sent.
         NotSent(cause: String) {
             display("not sent: {}", cause)
@@ -69,7 +73,10 @@
         max_idle: usize,
     ) -> Result<Reply, ExchangeError> {
         let stream = self.connection(addr, limit).await;
-        let stream = stream.map_err(|e| ExchangeError::NotSent(e.to_string()))?;
+        let stream = stream.map_err(|e| match e.kind() {
+            io::ErrorKind::ConnectionRefused => ExchangeError::Refused(e.to_string()),
+            _ => ExchangeError::NotSent(e.to_string()),
+        })?;
         // From here on the request may have been sent.
         let guard = CloseOnDrop(Some(stream.clone()));
         match timeout(limit, self.send_and_receive(stream, addr, outgoing)).await {
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -57,7 +57,7 @@
                 Some(response) => classify(response),
                 None => (AttemptResult::Lost, None),
             },
-            Err(ExchangeError::NotSent(cause)) => {
+            Err(ExchangeError::NotSent(cause) | ExchangeError::Refused(cause)) => {
                 log::debug!(upstream = upstream.as_str(); "request not sent: {cause}");
                 (AttemptResult::NotSent, None)
             }
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -100,6 +100,9 @@
     },
     /// No answer arrived. The order may have been carried out, or may still be.
     Silence,
+    /// The worker's host refused the connection: no process listens there, and the order was not
+    /// received.
+    Absent,
 }
 
 impl OrderAnswer {
@@ -112,7 +115,7 @@
     pub fn clock(&self) -> Option<u64> {
         match self {
             OrderAnswer::Done { clock, .. } | OrderAnswer::Refused { clock, .. } => *clock,
-            OrderAnswer::Silence => None,
+            OrderAnswer::Silence | OrderAnswer::Absent => None,
         }
     }
 }
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -19,6 +19,9 @@
 const BACKOFF: Duration = Duration::from_secs(2);
 /// Consecutive failed jobs after which a worker is sent no new work for a while.
 const FAILURES_BEFORE_BACKOFF: usize = 4;
+/// A worker whose host refuses connections within this time after the worker's last answer has
+/// crashed, and its runs had no time to end without a report.
+const SURE_CRASH_GAP: Duration = Duration::from_millis(500);
 /// Upper bound of the backoff of a worker that keeps failing.
 const MAX_BACKOFF: Duration = Duration::from_secs(16);
 
@@ -82,6 +85,8 @@
     started: Timestamp,
     last_answer: Option<Timestamp>,
     timeouts: u32,
+    /// When the worker's host first refused a connection since the worker last answered.
+    absent_since: Option<Timestamp>,
     backoff_until: Timestamp,
     /// Distinct jobs with a failed run since the last success.
     failed_jobs: Vec<JobId>,
@@ -115,6 +120,7 @@
             started: now,
             last_answer: None,
             timeouts: 0,
+            absent_since: None,
             backoff_until: Timestamp::ZERO,
             failed_jobs: Vec::new(),
             last_order: 0,
@@ -208,6 +214,15 @@
         assigned.chain(unknown).collect()
     }
 
+    /// Whether the worker's process is known to have ended, so soon after its last answer that its
+    /// runs had no time to end without a report.
+    pub fn is_sure_crash(&self) -> bool {
+        let (Some(absent), Some(last)) = (self.absent_since, self.last_answer) else {
+            return false;
+        };
+        absent.saturating_sub(last) < SURE_CRASH_GAP
+    }
+
     /// Whether the worker has listed its runs since the last unanswered order.
     pub fn is_answering(&self) -> bool {
         self.same_life
--- a/crates/dispatch/src/session/answers.rs
+++ b/crates/dispatch/src/session/answers.rs
@@ -20,12 +20,20 @@
         answer: OrderAnswer,
         now: Timestamp,
     ) {
+        let answer = match answer {
+            OrderAnswer::Absent => {
+                self.absent_since.get_or_insert(now);
+                OrderAnswer::Silence
+            }
+            answered => answered,
+        };
         if answer == OrderAnswer::Silence {
             self.same_life = false;
         }
         let this_life = self.is_of_this_life(&answer, now);
         if this_life {
             self.last_answer = Some(now);
+            self.absent_since = None;
             self.timeouts = 0;
             let reading = answer.clock().map(|millis| ClockReading { millis, at: now });
             self.clock = reading.or(self.clock);
@@ -43,7 +51,7 @@
     fn is_of_this_life(&self, answer: &OrderAnswer, now: Timestamp) -> bool {
         use RefusalReason::{OtherLife, OtherWorker};
         match answer {
-            OrderAnswer::Silence => return false,
+            OrderAnswer::Silence | OrderAnswer::Absent => return false,
             OrderAnswer::Refused { why: OtherLife | OtherWorker, .. } => return false,
             OrderAnswer::Done { listing: Some(_), .. } => return true,
             _ => {}
@@ -91,7 +99,7 @@
                 self.next_poll = now + self.cfg.idle_poll_interval;
             }
             OrderAnswer::Refused { .. } => self.next_poll = now + self.cfg.retry,
-            OrderAnswer::Silence => {
+            OrderAnswer::Silence | OrderAnswer::Absent => {
                 self.timeouts += 1;
                 self.next_poll = now + self.cfg.retry * self.timeouts.min(4);
             }
--- a/crates/dispatch/tests/session.rs
+++ b/crates/dispatch/tests/session.rs
@@ -218,3 +218,19 @@
     assert!(session.is_usable(late + ms(5)));
     assert!(starts(&session.poll(late + ms(200))));
 }
+
+/// Guards against a cut that is taken for a crash: behind it, a run may end without a report.
+#[test]
+fn a_crash_is_sure_only_if_the_host_refuses_connections_right_after_the_last_answer() {
+    let refused_after = |gap: u64, answer: OrderAnswer| {
+        let mut session = polled(&[0]);
+        let at = START + ms(2 + gap);
+        let (id, _) = session.poll(at).remove(0);
+        session.answered(id, at, answer, at);
+        session.is_sure_crash()
+    };
+    assert!(refused_after(150, OrderAnswer::Absent));
+    assert!(!refused_after(150, OrderAnswer::Silence));
+    assert!(!refused_after(2_000, OrderAnswer::Absent));
+    assert!(!polled(&[0]).is_sure_crash());
+}
--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -4,6 +4,9 @@
 use serde::{Deserialize, Serialize};
 use types::SortedMap;
 
+/// A task is given up after this many crashes that it may have caused, at which it was running for
+/// sure, if it was the only suspect of the last.
+const SURE_CRASHES_TO_GIVE_UP: u32 = 2;
 /// A task is given up after this many crashes that it may have caused. One of them may be counted by
 /// mistake: a task that has ended counts as running while its worker could not report the end.
 const CRASHES_TO_GIVE_UP: u32 = 3;
@@ -24,6 +27,9 @@
     pub started: bool,
     /// Whether the run may have caused the crash.
     pub suspect: bool,
+    /// Whether the run is known to have been running when the worker crashed: it had no time to end
+    /// without a report.
+    pub sure: bool,
 }
 
 /// Crashes of workers that ran a task.
@@ -35,6 +41,8 @@
     pub possible: u32,
     /// Crashes, of either kind, that the task may have caused.
     pub suspected: u32,
+    /// Those of them at which it is known to have been running.
+    pub sure: u32,
 }
 
 impl TaskCrashes {
@@ -61,15 +69,20 @@
         self.suspected > 0 || self.stays_suspect()
     }
 
-    /// Whether the task is given up after a crash that it may have caused.
+    /// Whether the task is given up after a crash that it may have caused. `alone` says that no
+    /// other job may have caused it.
     ///
     /// ```
     /// use jobs::TaskCrashes;
-    /// assert!(!TaskCrashes { certain: 2, suspected: 2, possible: 1 }.is_enough());
-    /// assert!(TaskCrashes { certain: 3, suspected: 1, possible: 0 }.is_enough());
+    /// let twice = TaskCrashes { certain: 2, suspected: 2, sure: 2, possible: 0 };
+    /// assert!(twice.is_enough(true) && !twice.is_enough(false));
+    /// assert!(!TaskCrashes { sure: 1, ..twice }.is_enough(true));
+    /// assert!(TaskCrashes { certain: 3, ..twice }.is_enough(false));
     /// ```
-    pub fn is_enough(&self) -> bool {
-        self.certain >= CRASHES_TO_GIVE_UP || self.total() >= UNCERTAIN_CRASHES_TO_GIVE_UP
+    pub fn is_enough(&self, alone: bool) -> bool {
+        (alone && self.sure >= SURE_CRASHES_TO_GIVE_UP)
+            || self.certain >= CRASHES_TO_GIVE_UP
+            || self.total() >= UNCERTAIN_CRASHES_TO_GIVE_UP
     }
 }
 
@@ -86,6 +99,7 @@
     pub(crate) fn count(&mut self, crashed: &CrashedRun) {
         let found = self.tasks.get_or_insert_with(crashed.task, TaskCrashes::default);
         found.suspected += u32::from(crashed.suspect);
+        found.sure += u32::from(crashed.suspect && crashed.sure);
         if crashed.started {
             found.certain += 1;
         } else if crashed.suspect {
--- a/crates/jobs/src/state/crashes.rs
+++ b/crates/jobs/src/state/crashes.rs
@@ -71,7 +71,7 @@
         let silent = self.crashes.silent.remove(&id).unwrap_or_default();
         for (task, run) in silent {
             if !runs.iter().any(|known| (known.task, known.run) == (task, run)) {
-                runs.push(CrashedRun { task, run, started: false, suspect: true });
+                runs.push(CrashedRun { task, run, started: false, suspect: true, sure: false });
             }
         }
         self.life_over(id, effects);
@@ -84,9 +84,10 @@
         let mut jobs: Vec<JobId> = suspects().map(|crashed| crashed.task.step.job).collect();
         jobs.sort_unstable();
         jobs.dedup();
+        let alone = jobs.len() == 1;
         for id in jobs {
             let mut tasks = suspects().map(|crashed| crashed.task).filter(|t| t.step.job == id);
-            let Some(task) = tasks.find(|task| self.task_crashes(*task).is_enough()) else {
+            let Some(task) = tasks.find(|task| self.task_crashes(*task).is_enough(alone)) else {
                 continue;
             };
             effects.push(Effect::GivenUp { task, crashes: self.task_crashes(task) });
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -128,12 +128,14 @@
         let recent = run.outlived < SETTLING_TIME;
         run.started && (recent || state.task_crashes(run.task).stays_suspect())
     };
+    let sure = session.is_sure_crash();
     let any_recent = evidence.iter().any(is_recent);
     let any_unknown = evidence.iter().any(|run| !run.started);
     let crashed = |run: &RunEvidence| CrashedRun {
         task: run.task,
         run: run.run,
         started: run.started,
+        sure: run.started && sure,
         suspect: match any_recent {
             true => is_recent(run) || run.by_other_life,
             false => !(any_unknown && run.started),
@@ -143,7 +145,13 @@
     let held = state.in_doubt_starts().iter().filter(|held| held.worker == session.worker());
     for held in held {
         if !runs.iter().any(|known| known.task == held.task) {
-            runs.push(CrashedRun { task: held.task, run: 0, started: false, suspect: true });
+            runs.push(CrashedRun {
+                task: held.task,
+                run: 0,
+                started: false,
+                suspect: true,
+                sure: false,
+            });
         }
     }
     runs
@@ -160,5 +168,5 @@
         .map(|run| format!("{}/{}/{}", hex(run.task.step.job), run.task.step.step, run.task.index))
         .collect();
     log::warn!(worker = session.worker(), life = session.life(), runs = runs.len(),
-        suspects = suspects.count(), named = named.join(" ").as_str(); "worker crashed");
+        suspects = suspects.count(), sure = session.is_sure_crash(), named = named.join(" ").as_str(); "worker crashed");
 }
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -228,7 +228,7 @@
         let Some(leader) = &mut group.leader else { return };
         let Some(open) = leader.orders.remove(&number) else { return };
         let OpenOrder { life, order, sent, .. } = open;
-        if answer != OrderAnswer::Silence {
+        if !matches!(answer, OrderAnswer::Silence | OrderAnswer::Absent) {
             if let Some(life) = group.state.life(life) {
                 leader.zones.record_answer(&life.info.zone, now);
             }
--- a/crates/scheduler/src/job_log.rs
+++ b/crates/scheduler/src/job_log.rs
@@ -36,7 +36,7 @@
 
 pub(crate) fn log_given_up(task: TaskRef, crashes: TaskCrashes) {
     log::warn!(job = hex(task.step.job).as_str(), step = task.step.step, index = task.index,
-        certain = crashes.certain, possible = crashes.possible;
+        certain = crashes.certain, possible = crashes.possible, sure = crashes.sure;
         "job given up: workers crash under its task");
 }
 
--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -365,6 +365,7 @@
     world.crashes.away = trouble.u64(1_000..4_000);
     world.crashes.repeats_heartbeats = shape.deadly;
     world.crashes.renames = shape.deadly && trouble.bool();
+    world.crashes.dark = !shape.deadly || seed.is_multiple_of(3);
     let mut ids = Vec::new();
     let end = world.now + FAULT_PERIOD;
     while world.now < end {
--- a/crates/scheduler/tests/world/crashes.rs
+++ b/crates/scheduler/tests/world/crashes.rs
@@ -24,6 +24,8 @@
     pub(crate) renames: bool,
     /// Workers send a heartbeat that is not answered to another host.
     pub(crate) repeats_heartbeats: bool,
+    /// Nothing answers at the address of a worker that has crashed; otherwise connections are refused.
+    pub(crate) dark: bool,
     /// How long a worker is away that a task has crashed, in milliseconds.
     pub(crate) away: u64,
     /// Number of crashes of workers that ran the task at that time.
