Split session.rs and gossip.rs, remove a stub, count workers without a recent report

Metric unreported_workers: a worker that is left idle because its heartbeats don't arrive could not be told from one in back-off.

--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -1,13 +1,16 @@
 //! The leader's side of one life of a worker.
 
 mod answers;
+mod capacity;
 mod config;
+mod evidence;
 mod in_doubt;
 mod lease;
 mod run;
 
 pub use config::{InjectedBug, SessionConfig};
-pub use run::{RunEvidence, RunStatus, RunTraits};
+pub use evidence::RunEvidence;
+pub use run::{RunStatus, RunTraits};
 
 use crate::order::{Order, OrderId};
 use jobs::{End, LifeId, RunNumber, TaskRef};
@@ -19,12 +22,6 @@
 const BACKOFF: Duration = Duration::from_secs(2);
 /// Consecutive failed jobs after which a worker is sent no new work for a while.
 const FAILURES_BEFORE_BACKOFF: usize = 4;
-/// A worker whose host refuses connections within this time after the worker's last answer has
-/// crashed, and its runs had no time to end without a report.
-const SURE_CRASH_GAP: Duration = Duration::from_millis(500);
-/// A poll that is sent within this time after the worker's last answer leaves no run time to end
-/// unnoticed.
-const MAX_UNWATCHED: Duration = Duration::from_millis(20);
 /// Upper bound of the backoff of a worker that keeps failing.
 const MAX_BACKOFF: Duration = Duration::from_secs(16);
 
@@ -152,26 +149,6 @@
             && self.is_capacity_known(now)
     }
 
-    /// Records that the worker reported its capacity when its clock showed `clock` milliseconds;
-    /// `None` if it did not say so, and the report counts as sent now.
-    pub fn record_report(&mut self, clock: Option<u64>, now: Timestamp) {
-        self.reported = self.reported.max(clock.or_else(|| self.clock_at(now)));
-    }
-
-    /// Whether the worker reported its capacity so lately that it can't be much smaller by now.
-    fn is_capacity_known(&self, now: Timestamp) -> bool {
-        let (Some(reported), Some(clock)) = (self.reported, self.clock_at(now)) else {
-            return false;
-        };
-        Duration::from_millis(clock.saturating_sub(reported)) < self.cfg.max_report_age
-    }
-
-    /// Upper bound of what the worker's clock shows, in milliseconds; `None` if it is not known.
-    fn clock_at(&self, now: Timestamp) -> Option<u64> {
-        let reading = self.clock?;
-        Some(reading.millis + now.saturating_sub(reading.at).as_millis() as u64)
-    }
-
     /// When the worker last answered an order; `None` if it has answered none.
     pub fn last_answer(&self) -> Option<Timestamp> {
         self.last_answer
@@ -191,45 +168,6 @@
         })
     }
 
-    /// What is known of each run that the worker may have started and that has not ended, in case
-    /// the worker is gone. Runs that it lists without being assigned them are among these.
-    pub fn evidence(&self) -> Vec<RunEvidence> {
-        let may_run = |entry: &&RunEntry| {
-            let sent = entry.sent_at.is_some() || !self.leader_accepted;
-            entry.started || (sent && entry.stage != Stage::Stopped)
-        };
-        let last_answer = self.last_answer.unwrap_or_default();
-        let evidence = |entry: &RunEntry| RunEvidence {
-            task: entry.task,
-            run: entry.run,
-            started: entry.started && entry.stage != Stage::Stopped,
-            by_other_life: entry.stage == Stage::Stopped
-                || (!entry.started && entry.working_since.is_some()),
-            outlived: match entry.working_since {
-                Some(since) if entry.started => last_answer.saturating_sub(since),
-                _ => Duration::ZERO,
-            },
-        };
-        let assigned = self.runs.iter().filter(may_run).map(evidence);
-        let unknown = self.unknown_runs.iter().map(|(task, run, _)| RunEvidence {
-            task: *task,
-            run: *run,
-            started: true,
-            by_other_life: false,
-            outlived: Duration::ZERO,
-        });
-        assigned.chain(unknown).collect()
-    }
-
-    /// Whether the worker's process is known to have ended, so soon after its last answer that its
-    /// runs had no time to end without a report.
-    pub fn is_sure_crash(&self) -> bool {
-        let (Some(absent), Some(last)) = (self.absent_since, self.last_answer) else {
-            return false;
-        };
-        self.watched && absent.saturating_sub(last) < SURE_CRASH_GAP
-    }
-
     /// Whether the worker has listed its runs since the last unanswered order.
     pub fn is_answering(&self) -> bool {
         self.same_life
--- a/crates/dispatch/src/session/answers.rs
+++ b/crates/dispatch/src/session/answers.rs
@@ -1,8 +1,9 @@
 //! Handling of a worker's answers to orders.
 
+use super::evidence::MAX_UNWATCHED;
 use super::lease::min_elapsed;
 use super::run::Stage;
-use super::{ClockReading, InjectedBug, Session, SessionEvent, BACKOFF, MAX_UNWATCHED};
+use super::{ClockReading, InjectedBug, Session, SessionEvent, BACKOFF};
 use crate::order::{OrderAnswer, OrderId, RefusalReason, RunListing};
 use jobs::{End, RunNumber, TaskRef};
 use std::time::Duration;
--- a/crates/dispatch/src/session/run.rs
+++ b/crates/dispatch/src/session/run.rs
@@ -85,22 +85,6 @@
     pub traits: Option<RunTraits>,
 }
 
-/// What is known of a run when its worker is gone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RunEvidence {
-    /// Task that the run executes.
-    pub task: TaskRef,
-    /// Number of the run.
-    pub run: RunNumber,
-    /// Whether the worker is known to have started the run. Otherwise it may have.
-    pub started: bool,
-    /// Whether another life of the worker has or may have answered for the run: it acknowledged the
-    /// start, or a stop whose end was not listed.
-    pub by_other_life: bool,
-    /// How long the run had been running at the worker's last sign of life.
-    pub outlived: Duration,
-}
-
 impl RunEntry {
     /// Begins to stop the run, unless that has begun already.
     pub(super) fn stop(&mut self, now: Timestamp) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -109,6 +109,7 @@
             ("open_jobs", stats.open_jobs as u64),
             ("waiting_steps", stats.ready_steps as u64),
             ("usable_workers", stats.usable_workers as u64),
+            ("unreported_workers", stats.unreported_workers as u64),
             ("workers", stats.workers as u64),
         ] {
             set(&self.gauges, kind, value);
--- a/crates/scheduler/src/capacity_reports.rs
+++ b/crates/scheduler/src/capacity_reports.rs
@@ -107,6 +107,12 @@
         true
     }
 
+    /// Number of workers that answer but whose capacity is not known.
+    pub(crate) fn unreported_workers(&self, now: Timestamp) -> usize {
+        let answers = self.sessions.values().filter(|session| session.is_answering());
+        answers.filter(|session| !session.is_capacity_known(now)).count()
+    }
+
     /// Records that a heartbeat changes what the state holds of the worker.
     pub(crate) fn record_change(&mut self, info: &WorkerInfo, clock: Option<u64>) {
         self.changing.insert((info.worker.clone(), info.born), clock);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -38,6 +38,7 @@
 mod group;
 mod io;
 mod job_log;
+mod joining;
 mod leader;
 mod message;
 mod node;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -50,6 +50,9 @@
     pub ready_steps: usize,
     /// Workers that accept new tasks; only on the leader.
     pub usable_workers: usize,
+    /// Workers that answer but get no new tasks, since they have not reported their capacity lately;
+    /// only on the leader.
+    pub unreported_workers: usize,
     /// Registered workers in the replicated state.
     pub workers: usize,
     /// Placements applied by this process while it was the leader.
@@ -364,6 +367,7 @@
             if let Some(leader) = &group.leader {
                 stats.ready_steps = leader.ready.len();
                 stats.usable_workers = leader.usable_workers(self.now);
+                stats.unreported_workers = leader.unreported_workers(self.now);
             }
         }
         stats
