Stand-ins read a request's body before they answer; a red test for servers that don't

The upstream never got one of the requests, which had been sent over a connection that had just brought an answer. Cause: async-h1 answers a request whose body the handler has not read, and reads the rest of the body afterwards, with a buffer of its own. A request that arrives by then goes into that buffer and is lost with it. Change: the stand-in upstream reads the body first. Also: a named constant, two ifs in place of matches on bool, a comment, a long log line.

--- a/crates/daemon/tests/on_platform.rs
+++ b/crates/daemon/tests/on_platform.rs
@@ -144,6 +144,31 @@
     assert!(answer.is_empty() || answer.contains(" 400 "), "{answer}");
 }
 
+/// Guards against a request that is taken for the rest of a body that nobody has read.
+#[test]
+fn a_request_after_one_whose_body_was_not_read_is_answered() {
+    block_on(async {
+        let process = start();
+        process.configure().await;
+        let mut stream = TcpStream::connect(process.callers).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let head = "POST /q/5c0e HTTP/1.1\r\nhost: q.example\r\ncontent-length: 4\r\n\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut buf = [0; 4_096];
+        let read = stream.read(&mut buf).unwrap();
+        let refused = String::from_utf8_lossy(&buf[..read]).to_lowercase();
+        assert!(refused.starts_with("http/1.1 400"), "{refused}");
+        if refused.contains("connection: close") {
+            return;
+        }
+        let next = "bodyGET /q/ HTTP/1.1\r\nhost: q.example\r\n\r\n";
+        stream.write_all(next.as_bytes()).unwrap();
+        let read = stream.read(&mut buf).expect("the next request is answered");
+        let answer = String::from_utf8_lossy(&buf[..read]);
+        assert!(answer.contains(r#"{"waiting":"#), "{answer}");
+    });
+}
+
 /// A job sent twice must be accepted once; its state and the count of waiting jobs must follow it
 /// to its cancellation. A configuration with an older version must not replace a newer one.
 #[test]
--- a/crates/host/src/calls.rs
+++ b/crates/host/src/calls.rs
@@ -275,9 +275,10 @@
         match call {
             GroupCall::Register { spec, first } => {
                 let completion = Completion::Registered(spec.worker.clone(), origin);
-                let command = match first < spec.incarnation {
-                    true => ZoneCommand::RegisterAgain { spec, first, at },
-                    false => ZoneCommand::Register { spec, at },
+                let command = if first < spec.incarnation {
+                    ZoneCommand::RegisterAgain { spec, first, at }
+                } else {
+                    ZoneCommand::Register { spec, at }
                 };
                 self.propose(id, command, completion);
             }
--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -36,6 +36,9 @@
     }
 }
 
+/// Encoding of the last part of a zone's state if no losses of workers are known.
+const NO_LOSSES: [u8; 2] = [0, 0];
+
 fn decode_or_default<T>(data: &[u8]) -> T
 where
     T: DeserializeOwned + Default,
@@ -45,7 +48,7 @@
     }
     let decoded = postcard::from_bytes(data);
     // Snapshots of earlier releases lack the last part of a zone's state, which was empty.
-    let extended = || postcard::from_bytes(&[data, &[0, 0]].concat());
+    let extended = || postcard::from_bytes(&[data, NO_LOSSES.as_slice()].concat());
     decoded.or_else(|_| extended()).expect("snapshots are written by this program")
 }
 
--- a/crates/scheduler/src/capacity_reports.rs
+++ b/crates/scheduler/src/capacity_reports.rs
@@ -25,7 +25,8 @@
     pub capacity: ResourceVector,
 }
 
-/// The newest report of each worker at a member that does not lead.
+/// The newest report of each worker that this member has got itself, also while it leads: the next
+/// leader needs them.
 #[derive(Debug, Default)]
 pub(crate) struct CapacityReports {
     /// With the time at which the report arrived here.
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -136,9 +136,10 @@
         run: run.run,
         started: run.started,
         sure: run.started && sure,
-        suspect: match any_recent {
-            true => is_recent(run) || run.by_other_life,
-            false => !(any_unknown && run.started),
+        suspect: if any_recent {
+            is_recent(run) || run.by_other_life
+        } else {
+            !(any_unknown && run.started)
         },
     };
     let mut runs: Vec<CrashedRun> = evidence.iter().map(crashed).collect();
@@ -168,5 +169,6 @@
         .map(|run| format!("{}/{}/{}", hex(run.task.step.job), run.task.step.step, run.task.index))
         .collect();
     log::warn!(worker = session.worker(), life = session.life(), runs = runs.len(),
-        suspects = suspects.count(), sure = session.is_sure_crash(), named = named.join(" ").as_str(); "worker crashed");
+        suspects = suspects.count(), sure = session.is_sure_crash(),
+        named = named.join(" ").as_str(); "worker crashed");
 }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -157,7 +157,9 @@
         let _ = served.await;
     }
 
-    async fn respond(self, req: Request, mut raw: TcpStream) -> http_types::Result<Response> {
+    async fn respond(self, mut req: Request, mut raw: TcpStream) -> http_types::Result<Response> {
+        // async-h1 may take the next request for the rest of a body that nobody has read.
+        req.body_bytes().await?;
         let behaviour = self.behaviour.lock().expect("lock is not poisoned").clone();
         if behaviour == Behaviour::Refuse {
             let mut res = Response::new(StatusCode::ServiceUnavailable);
