Client accounts: types, keys as digests, and the interfaces of the parts

Cause: nothing of client accounts is served: no key is read, no account is decoded, the state holds none, so unknown and revoked keys run. Change: the crate accounts with accounts, key digests and usage; accounts in the configuration and its distribution; keys in calls and commands, looked up where a command is applied; jobs carry their account.

--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -123,6 +123,7 @@
             per_worker: Duration::from_micros(worker_us),
             ticket_life: Duration::from_millis(1_500),
         }),
+        open: false,
     }
 }
 
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -326,7 +326,7 @@
         let request: Box<JobRequest> = Box::new(self.arrivals[i].request.clone());
         let queue = address(self.scenario, self.arrivals[i].queue);
         self.last_call += 1;
-        let call = Call::Submit { id, queue, request };
+        let call = Call::Submit { id, queue, request, key: None };
         let deadline = self.now + Duration::from_secs(3);
         self.schedule_after(
             NETWORK_DELAY * 3,
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -4,6 +4,7 @@
 use crate::crashes::{CrashedRun, TaskCrashes};
 use crate::life::WorkerInfo;
 use crate::model::{End, EndKind, JobRequest, LifeId, Placement, RunNumber, StepRef, TaskRef};
+use accounts::KeyDigest;
 use serde::{Deserialize, Serialize};
 use types::{JobId, Timestamp, Version, WorkerId};
 
@@ -25,11 +26,16 @@
         request: Box<JobRequest>,
         /// When the request arrived.
         at: Timestamp,
+        /// The caller's key. The account is looked up when the command is applied, so that a key
+        /// that was revoked meanwhile does not count.
+        key: Option<KeyDigest>,
     },
     /// Cancels a job.
     Cancel {
         /// Id of the job to cancel.
         id: JobId,
+        /// The caller's key.
+        key: Option<KeyDigest>,
         /// When the command was proposed.
         at: Timestamp,
     },
@@ -123,8 +129,15 @@
 pub enum Reply {
     /// The command took effect, or an earlier copy of it did.
     Done,
-    /// The queue or job does not exist.
+    /// The queue or job does not exist, or the job belongs to another account.
     NotFound,
+    /// The caller has no key of an account, and the queue needs one.
+    UnknownKey,
+    /// Another account has a job with this id.
+    IdTaken,
+    /// A gang of the job needs more at the same time than the account's quota allows: the index of
+    /// its step.
+    BeyondQuota(u16),
     /// Version of the current configuration, which may be higher than the proposed one.
     InForce(Version),
 }
--- a/crates/jobs/src/configuration.rs
+++ b/crates/jobs/src/configuration.rs
@@ -1,5 +1,6 @@
 //! Operator-supplied configuration of queues and services.
 
+use accounts::{Account, Accounts, KeyDigest};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use types::{ServiceName, Version};
@@ -59,6 +60,8 @@
     /// Timing of the advice service that decides which workers may run a step; `None` if the queue
     /// uses none.
     pub advice: Option<AdvicePolicy>,
+    /// Whether callers need no key, though there are accounts.
+    pub open: bool,
 }
 
 impl QueuePolicy {
@@ -111,10 +114,16 @@
     pub services: Vec<ServicePolicy>,
     /// Limits on callers' requests.
     pub limits: RequestLimits,
+    /// Client accounts. If there are none, no caller needs a key.
+    pub accounts: Accounts,
     /// The original document, as submitted by the operator.
     pub document: Vec<u8>,
 }
 
+/// A caller's key that no account holds, or a missing one where one is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownKey;
+
 impl Configuration {
     /// Validates the configuration. The error names the queue and the cause.
     pub fn check(&self) -> Result<(), String> {
@@ -136,6 +145,21 @@
         Ok(())
     }
 
+    /// The account of a caller with this key. `None` for a caller without an account, where none is
+    /// needed.
+    pub fn caller(
+        &self,
+        queue: &QueuePolicy,
+        key: Option<&KeyDigest>,
+    ) -> Result<Option<&Account>, UnknownKey> {
+        let account = key.and_then(|key| self.accounts.holder(key));
+        let needs_key = !self.accounts.is_empty() && !queue.open;
+        if account.is_none() && needs_key {
+            return Err(UnknownKey);
+        }
+        Ok(account)
+    }
+
     /// The queue that a request belongs to: the one with the longest matching prefix on the host.
     pub fn route(&self, host: &str, path: &str) -> Option<&(QueueAddress, QueuePolicy)> {
         let fits = |(a, _): &&(QueueAddress, QueuePolicy)| {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -3,7 +3,7 @@
 use crate::model::{JobRequest, LifeId, QueueId, RunNumber, StepRef};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
-use types::{JobId, SortedMap, Timestamp};
+use types::{AccountName, JobId, SortedMap, Timestamp};
 
 /// Lifecycle phase of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -112,6 +112,8 @@
     pub id: JobId,
     /// Queue that the job was submitted to.
     pub queue: QueueId,
+    /// Account of the caller that submitted the job; `None` if there are no accounts.
+    pub account: Option<AccountName>,
     /// When the job was accepted, by the clock of the leader at that time.
     pub submitted: Timestamp,
     /// Lifecycle phase; final once the job is over.
@@ -129,10 +131,17 @@
 }
 
 impl Job {
-    pub(crate) fn new(id: JobId, queue: QueueId, request: JobRequest, at: Timestamp) -> Job {
+    pub(crate) fn new(
+        id: JobId,
+        queue: QueueId,
+        account: Option<AccountName>,
+        request: JobRequest,
+        at: Timestamp,
+    ) -> Job {
         Job {
             id,
             queue,
+            account,
             submitted: at,
             phase: Phase::Queued,
             ended: None,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,8 +26,8 @@
 //! state.apply(Command::Configure { configuration: Box::new(configuration) });
 //! let step = StepSpec { count: 2, ..StepSpec::default() };
 //! let request = JobRequest { steps: vec![step], ..JobRequest::default() };
-//! let at = Duration::from_secs(1);
-//! state.apply(Command::Submit { id: 7, queue: address, request: Box::new(request), at });
+//! let (at, key) = (Duration::from_secs(1), None);
+//! state.apply(Command::Submit { id: 7, queue: address, request: Box::new(request), at, key });
 //! assert_eq!(state.job(7).unwrap().steps_ready().count(), 1);
 //! ```
 
@@ -42,12 +42,14 @@
 pub use command::{Command, Effect, Reply};
 pub use configuration::{
     AdvicePolicy, Configuration, QueueAddress, QueuePolicy, RequestLimits, ServicePolicy,
+    UnknownKey,
 };
 pub use crashes::{CrashedRun, TaskCrashes};
 pub use job::{Job, Occurrence, Phase, Progress, StepState, Task};
 pub use life::{Life, Run, WorkerInfo};
 pub use model::{
-    End, EndKind, InDoubtStart, JobRequest, LifeId, Placement, QueueId, ResourceVector, RunNumber,
-    Schedule, StepRef, StepSpec, TaskRef, MAX_STEPS, MAX_TASKS_PER_STEP,
+    End, EndKind, InDoubtStart, JobRequest, LifeId, Placement, QueueId, RunNumber, Schedule,
+    StepRef, StepSpec, TaskRef, MAX_STEPS, MAX_TASKS_PER_STEP,
 };
 pub use state::State;
+pub use types::ResourceVector;
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -1,8 +1,8 @@
 //! Lives (incarnations) of workers and the runs assigned to them.
 
-use crate::model::{LifeId, ResourceVector, RunNumber, TaskRef};
+use crate::model::{LifeId, RunNumber, TaskRef};
 use serde::{Deserialize, Serialize};
-use types::{ServiceName, WorkerId, ZoneName};
+use types::{ResourceVector, ServiceName, WorkerId, ZoneName};
 
 /// What a worker reports about itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -4,17 +4,16 @@
 mod ends;
 
 use crate::command::{Command, Effect, Reply};
-use crate::configuration::{Configuration, QueueAddress, QueuePolicy};
+use crate::configuration::{Configuration, QueueAddress, QueuePolicy, UnknownKey};
 use crate::crashes::CrashRecords;
 use crate::job::{Job, Occurrence, Phase, Progress};
 use crate::life::{Life, Run, WorkerInfo};
-use crate::model::{
-    InDoubtStart, JobRequest, LifeId, Placement, QueueId, ResourceVector, StepRef, TaskRef,
-};
+use crate::model::{InDoubtStart, JobRequest, LifeId, Placement, QueueId, StepRef, TaskRef};
+use accounts::KeyDigest;
 use ends::end_job;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
-use types::{JobId, SortedMap, Timestamp};
+use types::{AccountName, JobId, ResourceVector, SortedMap, Timestamp};
 
 /// A queue that is or was configured.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -92,6 +91,16 @@
         QueueId::try_from(i).ok()
     }
 
+    /// The account of a caller of the queue who has this key, by the current configuration.
+    pub fn caller(
+        &self,
+        queue: QueueId,
+        key: Option<&KeyDigest>,
+    ) -> Result<Option<AccountName>, UnknownKey> {
+        let account = self.configuration.caller(self.policy(queue), key)?;
+        Ok(account.map(|account| account.name.clone()))
+    }
+
     /// The specification of a step; `None` once the job is over.
     pub fn spec(&self, step: StepRef) -> Option<&crate::StepSpec> {
         let request = self.jobs.get(&step.job)?.request.as_ref()?;
@@ -103,10 +112,10 @@
         let mut effects = Vec::new();
         let reply = match command {
             Command::Configure { configuration } => self.configure(*configuration, &mut effects),
-            Command::Submit { id, queue, request, at } => {
-                self.submit(id, &queue, *request, at, &mut effects)
+            Command::Submit { id, queue, request, at, key } => {
+                self.submit(id, &queue, *request, at, key, &mut effects)
             }
-            Command::Cancel { id, at } => self.cancel(id, at, &mut effects),
+            Command::Cancel { id, key, at } => self.cancel(id, key, at, &mut effects),
             Command::OpenOccurrences { id, upto } => self.open_occurrences(id, upto, &mut effects),
             Command::Place { placements } => {
                 for placement in placements {
@@ -191,14 +200,18 @@
         queue: &QueueAddress,
         request: JobRequest,
         at: Timestamp,
+        key: Option<KeyDigest>,
         effects: &mut Vec<Effect>,
     ) -> Reply {
-        if self.jobs.contains_key(&id) {
-            return Reply::Done;
+        let known = self.jobs.get(&id);
+        let queue = known.map(|job| job.queue).or_else(|| self.open_queue(queue));
+        let Some(queue) = queue else { return Reply::NotFound };
+        let Ok(account) = self.caller(queue, key.as_ref()) else { return Reply::UnknownKey };
+        if let Some(job) = known {
+            return if job.account == account { Reply::Done } else { Reply::IdTaken };
         }
-        let Some(queue) = self.open_queue(queue) else { return Reply::NotFound };
         let scheduled = request.schedule.is_some();
-        let job = Job::new(id, queue, request, at);
+        let job = Job::new(id, queue, account, request, at);
         self.jobs.insert(id, Box::new(job));
         effects.push(Effect::Accepted(id));
         if !scheduled {
@@ -222,8 +235,17 @@
         Reply::Done
     }
 
-    fn cancel(&mut self, id: JobId, at: Timestamp, effects: &mut Vec<Effect>) -> Reply {
-        let Some(job) = self.jobs.get_mut(&id) else { return Reply::NotFound };
+    fn cancel(
+        &mut self,
+        id: JobId,
+        key: Option<KeyDigest>,
+        at: Timestamp,
+        effects: &mut Vec<Effect>,
+    ) -> Reply {
+        let Some(queue) = self.jobs.get(&id).map(|job| job.queue) else { return Reply::NotFound };
+        let Ok(account) = self.caller(queue, key.as_ref()) else { return Reply::UnknownKey };
+        let job = self.jobs.get_mut(&id).filter(|job| job.account == account);
+        let Some(job) = job else { return Reply::NotFound };
         if !job.phase.is_over() {
             end_job(job, Phase::Cancelled, at, effects);
         }
--- a/crates/scheduler/src/call.rs
+++ b/crates/scheduler/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls that the leader of the group serves, and their answers.
 
+use accounts::KeyDigest;
 use jobs::{Configuration, JobRequest, Phase, QueueAddress, WorkerInfo};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -25,6 +26,8 @@
         queue: QueueAddress,
         /// Steps, payload and schedule of the job.
         request: Box<JobRequest>,
+        /// The caller's key.
+        key: Option<KeyDigest>,
     },
     /// Cancels a job.
     Cancel {
@@ -32,6 +35,8 @@
         id: JobId,
         /// Queue that the caller expects the job in; not checked.
         queue: QueueAddress,
+        /// The caller's key.
+        key: Option<KeyDigest>,
     },
     /// Reads the phase of a job.
     JobPhase {
@@ -39,11 +44,15 @@
         id: JobId,
         /// Queue that the caller expects the job in; a job of another queue is not found.
         queue: QueueAddress,
+        /// The caller's key; a job of another account is not found.
+        key: Option<KeyDigest>,
     },
     /// Counts the jobs of a queue of which no task has started.
     CountWaiting {
         /// Queue whose jobs are counted.
         queue: QueueAddress,
+        /// The caller's key.
+        key: Option<KeyDigest>,
     },
     /// Puts a configuration into force if its version is higher than the current one.
     Configure(Box<Configuration>),
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -2,11 +2,12 @@
 
 use crate::call::{Answer, Call, WorkerHeartbeat};
 use crate::capacity_reports::CapacityReport;
-use crate::group::{OnApplied, Origin};
+use crate::group::{answer_from_reply, OnApplied, Origin};
 use crate::io::Output;
 use crate::message::PeerMessage;
 use crate::node::Node;
-use jobs::{Command, Configuration, Job, Phase, QueueId};
+use accounts::KeyDigest;
+use jobs::{Command, Configuration, Job, Phase, QueueAddress, QueueId, Reply, State, UnknownKey};
 use std::time::Duration;
 use types::{ExchangeId, HostId, JobId, Refusal, RefusalKind, Timestamp, WorkerId};
 
@@ -207,32 +208,36 @@
         let Some(group) = &self.group else { return self.redirect(origin) };
         let state = &group.state;
         match call {
-            Call::Submit { id, queue, request } => {
-                if state.job(id).is_some() {
-                    return self.answer(origin, Ok(Answer::Done));
-                }
-                if state.open_queue(&queue).is_none() {
-                    return self.answer(origin, Err(not_found("there is no such queue")));
-                }
+            Call::Submit { id, queue, request, key } => {
                 let at = self.now;
-                self.propose_for(origin, Command::Submit { id, queue, request, at });
+                match submission(state, id, &queue, key.as_ref()) {
+                    Submission::New => {
+                        let command = Command::Submit { id, queue, request, at, key };
+                        self.propose_for(origin, command);
+                    }
+                    Submission::Known => self.answer(origin, Ok(Answer::Done)),
+                    Submission::Refused(reply) => self.answer(origin, answer_from_reply(reply)),
+                }
             }
-            Call::Cancel { id, .. } => {
+            Call::Cancel { id, key, .. } => {
                 let at = self.now;
-                self.propose_for(origin, Command::Cancel { id, at });
+                self.propose_for(origin, Command::Cancel { id, key, at });
             }
-            Call::JobPhase { id, queue } => {
-                let job = state.job(id).filter(|job| *state.address(job.queue) == queue);
-                let answer = match job {
-                    Some(job) => Ok(Answer::Phase(job.phase)),
-                    None => Err(not_found("there is no such job")),
+            Call::JobPhase { id, queue, key } => {
+                let answer = match visible_job(state, id, &queue, key.as_ref()) {
+                    Ok(Some(job)) => Ok(Answer::Phase(job.phase)),
+                    Ok(None) => Err(not_found("there is no such job")),
+                    Err(UnknownKey) => answer_from_reply(Reply::UnknownKey),
                 };
                 self.answer(origin, answer);
             }
-            Call::CountWaiting { queue } => {
+            Call::CountWaiting { queue, key } => {
                 let answer = match state.open_queue(&queue) {
-                    Some(queue) => Ok(Answer::Waiting(self.count_waiting(queue))),
                     None => Err(not_found("there is no such queue")),
+                    Some(queue) => match state.caller(queue, key.as_ref()) {
+                        Ok(_) => Ok(Answer::Waiting(self.count_waiting(queue))),
+                        Err(UnknownKey) => answer_from_reply(Reply::UnknownKey),
+                    },
                 };
                 self.answer(origin, answer);
             }
@@ -326,6 +331,46 @@
     }
 }
 
+/// What a submission is, by the leader's state.
+enum Submission {
+    New,
+    /// A job of the same caller has the id already.
+    Known,
+    Refused(Reply),
+}
+
+fn submission(
+    state: &State,
+    id: JobId,
+    queue: &QueueAddress,
+    key: Option<&KeyDigest>,
+) -> Submission {
+    let known = state.job(id);
+    let queue = known.map(|job| job.queue).or_else(|| state.open_queue(queue));
+    let Some(queue) = queue else { return Submission::Refused(Reply::NotFound) };
+    let Ok(account) = state.caller(queue, key) else {
+        return Submission::Refused(Reply::UnknownKey);
+    };
+    match known {
+        None => Submission::New,
+        Some(job) if job.account == account => Submission::Known,
+        Some(_) => Submission::Refused(Reply::IdTaken),
+    }
+}
+
+/// A job of the queue that a caller with this key may see.
+pub(crate) fn visible_job<'a>(
+    state: &'a State,
+    id: JobId,
+    queue: &QueueAddress,
+    key: Option<&KeyDigest>,
+) -> Result<Option<&'a Job>, UnknownKey> {
+    let job = state.job(id).filter(|job| state.address(job.queue) == queue);
+    let Some(job) = job else { return Ok(None) };
+    let account = state.caller(job.queue, key)?;
+    Ok((job.account == account).then_some(job))
+}
+
 fn not_found(cause: &str) -> Refusal {
     Refusal::new(RefusalKind::NotFound, cause)
 }
--- a/crates/scheduler/src/config_changes.rs
+++ b/crates/scheduler/src/config_changes.rs
@@ -5,6 +5,7 @@
 //! enough not to hold up the messages that share the link. The operator's document stays with the
 //! group.
 
+use accounts::Accounts;
 use jobs::{Configuration, QueueAddress, QueuePolicy, RequestLimits, ServicePolicy};
 use serde::{Deserialize, Serialize};
 use types::{SortedMap, Version};
@@ -41,6 +42,8 @@
     pub services: Vec<ServicePolicy>,
     /// Limits on callers' requests.
     pub limits: RequestLimits,
+    /// All client accounts.
+    pub accounts: Accounts,
     /// Number of queues in the whole configuration, to check the result.
     pub queue_count: usize,
 }
@@ -139,6 +142,7 @@
         parts.last_mut().expect("has one").end = Some(ConfigurationEnd {
             services: configuration.services.clone(),
             limits: configuration.limits,
+            accounts: configuration.accounts.clone(),
             queue_count: all.len(),
         });
         parts
@@ -191,13 +195,13 @@
         let Some(end) = end else { return Received::Incomplete };
         let incoming = std::mem::take(self);
         let kept: &[_] = if base.is_some() { &current.queues } else { &[] };
-        let ConfigurationEnd { services, limits, queue_count } = end;
+        let ConfigurationEnd { services, limits, accounts, queue_count } = end;
         let queues = incoming.merge_into(kept);
         if queues.len() != queue_count {
             return Received::Mismatch;
         }
         let document = Vec::new();
-        let complete = Configuration { version, queues, services, limits, document };
+        let complete = Configuration { version, queues, services, limits, accounts, document };
         Received::Complete(Box::new(complete))
     }
 
--- a/crates/scheduler/src/follower_reads.rs
+++ b/crates/scheduler/src/follower_reads.rs
@@ -5,6 +5,7 @@
 //! what can't change any more: that a job is finished, or that a worker's heartbeat was applied.
 
 use crate::call::{Answer, Call};
+use crate::calls::visible_job;
 use crate::capacity_reports::CapacityReport;
 use crate::node::Node;
 use jobs::WorkerInfo;
@@ -59,8 +60,8 @@
         }
         let state = &self.group.as_ref()?.state;
         match call {
-            Call::JobPhase { id, queue } => {
-                let job = state.job(*id).filter(|job| state.address(job.queue) == queue)?;
+            Call::JobPhase { id, queue, key } => {
+                let job = visible_job(state, *id, queue, key.as_ref()).ok()??;
                 job.phase.is_over().then_some(Answer::Phase(job.phase))
             }
             Call::Heartbeat(heartbeat) => {
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -321,13 +321,23 @@
     members.map(|member| member.host.as_str()).collect::<Vec<_>>().join(" ")
 }
 
-fn answer_from_reply(reply: Reply) -> Result<Answer, Refusal> {
+pub(crate) fn answer_from_reply(reply: Reply) -> Result<Answer, Refusal> {
     match reply {
         Reply::Done => Ok(Answer::Done),
         Reply::InForce(version) => Ok(Answer::InForce(version)),
         Reply::NotFound => {
             Err(Refusal::new(RefusalKind::NotFound, "there is no such queue or job"))
         }
+        Reply::UnknownKey => {
+            Err(Refusal::new(RefusalKind::Forbidden, "authorization: no account holds this key"))
+        }
+        Reply::IdTaken => {
+            Err(Refusal::new(RefusalKind::Conflict, "id: another job has it already"))
+        }
+        Reply::BeyondQuota(step) => Err(Refusal::new(
+            RefusalKind::BadInput,
+            format!("steps[{step}]: needs more at once than the account's quota allows"),
+        )),
     }
 }
 
--- a/crates/scheduler/tests/configurations.rs
+++ b/crates/scheduler/tests/configurations.rs
@@ -39,6 +39,7 @@
         slack: ms(1_000),
         request_timeout: ms(3_000),
         advice: None,
+        open: false,
     };
     (address, policy)
 }
@@ -218,7 +219,7 @@
             self.host_outputs(i, outputs);
             if calls && (self.now + i as u64).is_multiple_of(CALL_INTERVAL) {
                 self.last_exchange += 1;
-                let call = Call::CountWaiting { queue: queue(0).0 };
+                let call = Call::CountWaiting { queue: queue(0).0, key: None };
                 self.hosts[i].open.push((self.last_exchange, self.now));
                 let input = Input::Call(self.last_exchange, call, now + ms(2_900));
                 let outputs = self.hosts[i].node.step(now, input);
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -188,6 +188,7 @@
         stretch: 2.0,
         slack: ms(1_000),
         request_timeout: ms(3_000),
+        open: false,
         advice: advised.then(|| jobs::AdvicePolicy {
             per_call: ms(10),
             per_worker: ms(1),
@@ -434,12 +435,15 @@
         self.requests.insert(id, request.clone());
         self.jobs.insert(id, JobRecord::default());
         let host = self.rng.usize(DISKS..HOSTS);
-        self.call(host, Call::Submit { id, queue: queue(advised), request: Box::new(request) });
+        self.call(
+            host,
+            Call::Submit { id, queue: queue(advised), request: Box::new(request), key: None },
+        );
     }
 
     pub(crate) fn cancel(&mut self, id: JobId) {
         let host = self.rng.usize(DISKS..HOSTS);
-        self.call(host, Call::Cancel { id, queue: queue(false) });
+        self.call(host, Call::Cancel { id, queue: queue(false), key: None });
     }
 
     fn input(&mut self, i: usize, input: Input) {
@@ -505,11 +509,11 @@
         match (call, answer) {
             (Call::Submit { id, .. }, Ok(_)) => self.jobs.get_mut(&id).unwrap().accepted = true,
             // Clients retry a submission with an unknown outcome.
-            (Call::Submit { id, queue, request }, Err(refusal))
+            (Call::Submit { id, queue, request, key }, Err(refusal))
                 if refusal.kind != RefusalKind::NotFound =>
             {
                 let host = self.rng.usize(DISKS..HOSTS);
-                let call = Call::Submit { id, queue, request };
+                let call = Call::Submit { id, queue, request, key };
                 self.after(CALL_RETRY_INTERVAL, Event::Call(host, Box::new(call)));
             }
             (Call::Cancel { id, .. }, Ok(_)) => {
@@ -643,7 +647,7 @@
     /// Asks for the number of waiting jobs in each queue.
     pub(crate) fn ask_waiting(&mut self) {
         for advised in [false, true] {
-            self.call(DISKS, Call::CountWaiting { queue: queue(advised) });
+            self.call(DISKS, Call::CountWaiting { queue: queue(advised), key: None });
         }
     }
 
@@ -651,7 +655,7 @@
     pub(crate) fn ask(&mut self, id: JobId) {
         for advised in [false, true] {
             let host = self.rng.usize(DISKS..HOSTS);
-            self.call(host, Call::JobPhase { id, queue: queue(advised) });
+            self.call(host, Call::JobPhase { id, queue: queue(advised), key: None });
         }
     }
 }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -12,6 +12,8 @@
 pub type UpstreamId = String;
 /// Name of a team, which owns jobs and has a quota.
 pub type TeamName = String;
+/// Name of a client account, which submits staged jobs and has a share and a quota.
+pub type AccountName = String;
 /// Name of a service that upstreams serve and callers request.
 pub type ServiceName = String;
 /// Id of a job, unique in its zone and never reused.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod quantity;
 mod refusal;
 mod release;
+mod resource_vector;
 mod resources;
 mod sorted;
 
@@ -22,5 +23,6 @@
 pub use job::{JobClass, JobKey, JobSpec, TaskOutcome};
 pub use refusal::{Refusal, RefusalKind};
 pub use release::{DeclaredJob, Objective, Release, ReleaseNote, Service, TeamQuota};
+pub use resource_vector::ResourceVector;
 pub use resources::Resources;
 pub use sorted::SortedMap;
