--- a/crates/daemon/src/http/accept.rs
+++ b/crates/daemon/src/http/accept.rs
@@ -9,6 +9,7 @@
 use async_std::task;
 use futures::future::{select, Either};
 use http_types::{Request, Response};
+use request_body::BodyState;
 use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -100,7 +101,10 @@
     phase: Phase,
 ) -> http_types::Result<Response> {
     phase.start_handling();
+    let mut req = req;
+    let body = BodyState::attach(&mut req);
     let mut res: Response = app.respond(req).await?;
+    body.close_if_unread(&mut res);
     phase.start_writing();
     if shared.shutdown.drain.is_cancelled() {
         res.insert_header("connection", "close");
--- a/crates/daemon/src/http/body.rs
+++ b/crates/daemon/src/http/body.rs
@@ -3,6 +3,7 @@
 use super::Shared;
 use async_std::future::timeout;
 use async_std::io::ReadExt;
+use request_body::BodyState;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
 use tide::Request;
@@ -33,6 +34,9 @@
     if content_length.is_some_and(|length| length != body.len()) {
         return Err(bad("ends before its announced length"));
     }
+    if let Some(state) = req.ext::<BodyState>() {
+        state.mark_read();
+    }
     Ok(body)
 }
 
--- a/crates/daemon/tests/contracts.rs
+++ b/crates/daemon/tests/contracts.rs
@@ -112,6 +112,20 @@
     });
 }
 
+/// Guards against a request that is taken for the rest of a body that nobody has read.
+#[test]
+fn a_connection_whose_body_was_not_read_is_closed_after_the_answer() {
+    block_on(async {
+        let mut harness = Harness::new(&ONE_ZONE);
+        harness.start().await;
+        let addr = harness.cell.hosts[0].callers_addr();
+        let request = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbodyGET / HTTP/1.1";
+        let answer = raw(addr, request).await.to_lowercase();
+        assert!(answer.starts_with("http/1.1 400"), "{answer}");
+        assert!(answer.contains("connection: close"), "{answer}");
+    });
+}
+
 /// A peer with another protocol version must be refused, and messages of a host that is not in the
 /// settings must have no effect.
 #[test]
--- a/crates/daemon/tests/on_platform.rs
+++ b/crates/daemon/tests/on_platform.rs
@@ -5,10 +5,11 @@
 use async_std::task::{block_on, sleep};
 use client::{Client, ClientBuilder, Method, Reply};
 use std::fs;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::thread;
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -37,6 +38,10 @@
 }
 
 fn start() -> Process {
+    start_with_output(Stdio::null())
+}
+
+fn start_with_output(stdout: Stdio) -> Process {
     let dir = tempfile::tempdir().unwrap();
     let ports = standin::free_addrs(5).unwrap();
     let (callers, ready, control, peers) = (ports[0], ports[1], ports[2], ports[3].port());
@@ -51,7 +56,7 @@
     let child = Command::new(env!("CARGO_BIN_EXE_ebonywalkd"))
         .args(["on-platform", "--metrics-port", &ports[4].port().to_string()])
         .env("EBONYWALK_SETTINGS", &settings)
-        .stdout(Stdio::null())
+        .stdout(stdout)
         .spawn()
         .unwrap();
     Process { child, callers, control, settings, _dir: dir }
@@ -229,6 +234,23 @@
     });
 }
 
+/// Guards against a reload signal that ends a process which is still starting.
+#[test]
+fn a_reload_signal_during_the_start_does_not_end_the_process() {
+    block_on(async {
+        let mut process = start_with_output(Stdio::piped());
+        let mut lines = BufReader::new(process.child.stdout.take().unwrap()).lines();
+        assert!(lines.any(|line| line.unwrap().contains("starting")), "the start is not logged");
+        signal(&process, "HUP");
+        // The process must be able to write on.
+        let reader = thread::spawn(move || lines.count());
+        process.configure().await;
+        assert_eq!(process.post("00000000000000a3", JOB.as_bytes()).await.status, 200);
+        drop(process);
+        reader.join().unwrap();
+    });
+}
+
 fn signal(process: &Process, name: &str) {
     let pid = process.child.id().to_string();
     let status = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
