Command line: check a configuration before it is sent

Cause: the users' wish for a check that shows errors, entries that can never match, contradicting limits and what differs from the version in force. Change: jobs::review and jobs::difference (pure), ebonywalk config check FILE [--against HOST|FILE] [--output json]; exit codes 0, 1 and 2. Conclusion: whole but for labels that no worker has and quotas below a queue's usual need, which need what the cell has seen.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -5,6 +5,7 @@
 
 const EXAMPLES: &str = "Examples:
   ebonywalk settings check host.yaml
+  ebonywalk config check queues.json --against 10.1.0.24:8749
   ebonywalk release diff release.yaml
   ebonywalk release apply release.yaml
   ebonywalk submit job.yaml
@@ -37,6 +38,7 @@
                 .value_parser(["text", "json"]),
         )
         .subcommand(settings())
+        .subcommand(config())
         .subcommand(release())
         .subcommand(
             Command::new("job").about("Work with job files").subcommand_required(true).subcommand(
@@ -94,6 +96,22 @@
         )
 }
 
+fn config() -> Command {
+    let against = Arg::new("against").long("against").value_name("HOST|FILE").help(
+        "Show what differs from the version in force on this host (ip:port), or from this file",
+    );
+    Command::new("config")
+        .about("Work with configurations of queues, services and client accounts")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Check a configuration before it is sent")
+                .after_help("Exit codes: 0 nothing found, 1 findings, 2 invalid or can't be read.")
+                .arg(file("The configuration, as it is sent"))
+                .arg(against),
+        )
+}
+
 fn release() -> Command {
     let request = Arg::new("request").long("request").value_name("ID").help(
         "Id of this request; the same id sent again gets the same answer [default: digest of file]",
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -32,6 +32,14 @@
         Unknown(cause: String) {
             display("{}", cause)
         }
+        /// A configuration is invalid: the file or host that it comes from, and the cause.
+        Configuration(origin: String, cause: String) {
+            display("{}: {}", origin, cause)
+        }
+        /// A configuration is valid, but this many of its entries can hardly be meant.
+        Findings(count: usize) {
+            display("findings: {}", count)
+        }
         /// A file can't be read or written.
         Io(path: String, cause: io::Error) {
             display("{}: {}", path, cause)
@@ -43,7 +51,7 @@
 /// Category of an [`Error`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ErrorKind {
-    /// The cell refused.
+    /// The cell refused, or a check has found something.
     Refused,
     /// The command line or a file is invalid, or a file can't be read or written.
     Usage,
@@ -57,8 +65,10 @@
     /// Returns the category of the error.
     pub fn kind(&self) -> ErrorKind {
         match self {
-            Error::Usage(_) | Error::File(_) | Error::Io(..) => ErrorKind::Usage,
-            Error::Refused(_) => ErrorKind::Refused,
+            Error::Usage(_) | Error::File(_) | Error::Io(..) | Error::Configuration(..) => {
+                ErrorKind::Usage
+            }
+            Error::Refused(_) | Error::Findings(_) => ErrorKind::Refused,
             Error::Unknown(_) => ErrorKind::Unknown,
             Error::Call(e) => match e.kind() {
                 client::ErrorKind::Refused => ErrorKind::Refused,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod args;
 mod burn;
+mod config;
 mod error;
 mod jobs;
 mod output;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -3,7 +3,7 @@
 use crate::args::command;
 use crate::output::Format;
 use crate::target::Target;
-use crate::{burn, jobs, release, status, Error};
+use crate::{burn, config, jobs, release, status, Error};
 use async_std::task::block_on;
 use clap::ArgMatches;
 use settings::Settings;
@@ -42,6 +42,10 @@
     let nested_name = nested.as_ref().map_or("", |(name, _)| name.as_str());
     match (name, nested_name) {
         ("settings", _) => check_settings(file(innermost)),
+        ("config", _) => {
+            let against = innermost.get_one::<String>("against");
+            config::check(&cx, file(innermost), against.map(String::as_str)).await
+        }
         ("release", "check") => release::check(&cx, file(innermost)),
         ("release", "diff") => release::diff(&cx, file(innermost)).await,
         ("release", "apply") => {
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -59,7 +59,8 @@
         }
     }
 
-    pub(crate) fn refused(reply: &Reply) -> Error {
+    /// Creates the error of a response whose status is not that of a success.
+    pub fn refused(reply: &Reply) -> Error {
         let body = reply.text();
         let value: serde_json::Value = serde_json::from_str(&body).unwrap_or_default();
         let message = value
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -34,9 +34,11 @@
 mod command;
 mod configuration;
 mod crashes;
+mod difference;
 mod job;
 mod life;
 mod model;
+mod review;
 mod state;
 
 pub use command::{Command, Effect, Reply};
@@ -45,11 +47,13 @@
     UnknownKey,
 };
 pub use crashes::{CrashedRun, TaskCrashes};
+pub use difference::{difference, Difference};
 pub use job::{Job, Occurrence, Phase, Progress, StepState, Task};
 pub use life::{Life, Run, WorkerInfo};
 pub use model::{
     End, EndKind, InDoubtStart, JobRequest, LifeId, Placement, QueueId, RunNumber, Schedule,
     StepRef, StepSpec, TaskRef, MAX_STEPS, MAX_TASKS_PER_STEP,
 };
+pub use review::{review, Finding, FindingKind};
 pub use state::State;
 pub use types::ResourceVector;
