--- a/crates/emulator/src/leader_loss.rs
+++ b/crates/emulator/src/leader_loss.rs
@@ -17,7 +17,7 @@
             index: 1,
             term: 1,
             config: Config::new(vec![member]),
-            data: Arc::new(postcard::to_stdvec(state).expect("plain data always encodes")),
+            data: Arc::new(state.encode()),
         };
         let not_accepted = |id: &JobId| state.job(*id).is_none();
         let again: Vec<usize> =
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -31,6 +31,7 @@
 //! assert_eq!(state.job(7).unwrap().steps_ready().count(), 1);
 //! ```
 
+mod codec;
 mod command;
 mod configuration;
 mod crashes;
@@ -39,6 +40,7 @@
 mod model;
 mod state;
 
+pub use codec::DecodeError;
 pub use command::{Command, Effect, Reply};
 pub use configuration::{
     AdvicePolicy, Configuration, QueueAddress, QueuePolicy, RequestLimits, ServicePolicy,
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod ends;
+pub(crate) mod legacy;
 
 use crate::command::{Command, Effect, Reply};
 use crate::configuration::{Configuration, QueueAddress, QueuePolicy, UnknownKey};
@@ -35,7 +36,6 @@
     lives: SortedMap<LifeId, Box<Life>>,
     last_life: LifeId,
     in_doubt: Vec<InDoubtStart>,
-    /// Last, since snapshots of earlier releases end before it.
     crashes: CrashRecords,
 }
 
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -91,17 +91,8 @@
     }
 }
 
-/// Encoding of the last part of the state if no crashes are known.
-const NO_CRASH_RECORDS: [u8; 2] = [0, 0];
-
 fn decode_state(data: &[u8]) -> State {
-    if data.is_empty() {
-        return State::default();
-    }
-    let decoded = postcard::from_bytes(data);
-    // Snapshots of earlier releases lack the last part of the state.
-    let extended = || postcard::from_bytes(&[data, NO_CRASH_RECORDS.as_slice()].concat());
-    decoded.or_else(|_| extended()).expect("snapshot data was encoded by this program")
+    State::decode(data).expect("a member reads snapshots of its own release and of earlier ones")
 }
 
 impl Node {
@@ -109,7 +100,7 @@
     pub(crate) fn propose(&mut self, command: &Command, on_applied: OnApplied) -> bool {
         let now = self.now;
         let Some(group) = &mut self.group else { return false };
-        let data = postcard::to_stdvec(command).expect("plain data always encodes");
+        let data = command.encode();
         let term = group.raft.term();
         match group.raft.propose(now, data) {
             Ok(index) => {
@@ -241,8 +232,8 @@
             Payload::Command(data) => data,
             Payload::Config(config) => return log_membership(&config, entry.index),
         };
-        let command: Command =
-            postcard::from_bytes(&data).expect("log entries were encoded by this program");
+        let command = Command::decode(&data)
+            .expect("a member reads log entries of its own release and of earlier ones");
         let before = group.state.configuration().clone();
         let (reply, effects) = group.state.apply(command);
         if effects.contains(&Effect::Configured) {
@@ -299,7 +290,7 @@
         if applied < group.raft.snapshot_index() + every {
             return;
         }
-        let data = postcard::to_stdvec(&group.state).expect("plain data always encodes");
+        let data = group.state.encode();
         log::info!(index = applied, bytes = data.len(); "state snapshot taken");
         group.raft.compact(applied, data);
     }
