Exact rate by account, kept in the replicated state

Cause: nothing counts what an account sends, so that work beyond its weight can't be told from work that is owed. Change: accounts::Rates (generic cell rate algorithm, two seconds of the weight at once) at the end of State, counted where a submission is applied; a job beyond the rate is marked (Job::over_rate). Resends change nothing, a leader whose clock is behind costs one burst. accounts::Shares computes the standing of an account by its weighted dominant share; it is not used yet.

Conclusion: the order and admission can build on it.

--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -19,7 +19,11 @@
 mod account;
 mod key;
 mod quota;
+mod rate;
+mod shares;
 
 pub use account::{Account, AccountBuilder, Accounts};
 pub use key::KeyDigest;
 pub use quota::Usage;
+pub use rate::Rates;
+pub use shares::{dominant_share, Share, Shares, Standing};
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -128,6 +128,8 @@
     pub opened: u32,
     /// Number of occurrences that are done.
     pub finished: u32,
+    /// Whether the account had sent more jobs than its weight allows when this one was accepted.
+    pub over_rate: bool,
 }
 
 impl Job {
@@ -149,6 +151,7 @@
             occurrences: SortedMap::default(),
             opened: 0,
             finished: 0,
+            over_rate: false,
         }
     }
 
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -9,7 +9,7 @@
 use crate::job::{Job, Occurrence, Phase, Progress};
 use crate::life::{Life, Run, WorkerInfo};
 use crate::model::{InDoubtStart, JobRequest, LifeId, Placement, QueueId, StepRef, TaskRef};
-use accounts::KeyDigest;
+use accounts::{KeyDigest, Rates};
 use ends::end_job;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -35,8 +35,9 @@
     lives: SortedMap<LifeId, Box<Life>>,
     last_life: LifeId,
     in_doubt: Vec<InDoubtStart>,
-    /// Last, since snapshots of earlier releases end before it.
+    /// Snapshots of earlier releases end before it.
     crashes: CrashRecords,
+    rates: Rates,
 }
 
 impl State {
@@ -101,6 +102,11 @@
         Ok(account.map(|account| account.name.clone()))
     }
 
+    /// The rates at which the accounts submit jobs.
+    pub fn rates(&self) -> &Rates {
+        &self.rates
+    }
+
     /// The specification of a step; `None` once the job is over.
     pub fn spec(&self, step: StepRef) -> Option<&crate::StepSpec> {
         let request = self.jobs.get(&step.job)?.request.as_ref()?;
@@ -188,6 +194,7 @@
                     Err(_) => self.queues.push(queue),
                 }
             }
+            self.rates.keep(&configuration.accounts);
             self.configuration = Arc::new(configuration);
             effects.push(Effect::Configured);
         }
@@ -211,7 +218,10 @@
             return if job.account == account { Reply::Done } else { Reply::IdTaken };
         }
         let scheduled = request.schedule.is_some();
-        let job = Job::new(id, queue, account, request, at);
+        let mut job = Job::new(id, queue, account, request, at);
+        let account = job.account.as_deref();
+        let account = account.and_then(|name| self.configuration.accounts.get(name));
+        job.over_rate = account.is_some_and(|account| !self.rates.count(account, at));
         self.jobs.insert(id, Box::new(job));
         effects.push(Effect::Accepted(id));
         if !scheduled {
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -91,17 +91,18 @@
     }
 }
 
-/// Encoding of the last part of the state if no crashes are known.
-const NO_CRASH_RECORDS: [u8; 2] = [0, 0];
+/// Encodings of the last parts of the state that snapshots of earlier releases lack, all empty: the
+/// rates of accounts, and before them the crash records.
+const MISSING_PARTS: [&[u8]; 2] = [&[0], &[0, 0, 0]];
 
 fn decode_state(data: &[u8]) -> State {
     if data.is_empty() {
         return State::default();
     }
-    let decoded = postcard::from_bytes(data);
-    // Snapshots of earlier releases lack the last part of the state.
-    let extended = || postcard::from_bytes(&[data, NO_CRASH_RECORDS.as_slice()].concat());
-    decoded.or_else(|_| extended()).expect("snapshot data was encoded by this program")
+    let decoded = postcard::from_bytes(data).ok();
+    let extended = |missing: &[u8]| postcard::from_bytes(&[data, missing].concat()).ok();
+    let decoded = decoded.or_else(|| MISSING_PARTS.into_iter().find_map(extended));
+    decoded.expect("snapshot data was encoded by this program")
 }
 
 impl Node {
