One order for all steps: within the rate first, then value, priority and shares

Cause: a pass ranks steps by tier, queue priority and latest start and knows no account, so that one account's flood takes every slot, and gangs that nobody is owed, or that have no value any more, hold room of others. Change: Rank names the order once: with value before worthless, within the rate before beyond it, on time before late, queue priority, below the share before above it, account priority, latest start. A step that is worthless or beyond its rate yields: it gets no claim while others wait and pauses nothing; its runs may be paused by all others. Without accounts the order is the one before (property). The signature of rank changed in the test of the order, its check is the same.

--- a/crates/accounts/src/shares.rs
+++ b/crates/accounts/src/shares.rs
@@ -4,9 +4,12 @@
 use crate::quota::Usage;
 use types::{AccountName, ResourceVector, SortedMap};
 
-/// How an account stands among those whose steps are otherwise equal. The lower one goes first.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+/// How the work of an account stands beside that of others. The default is that of work without
+/// an account, and the best.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
+    /// Whether the job is beyond its account's rate.
+    pub over_rate: bool,
     /// Whether the account uses more than its share.
     pub above_share: bool,
     /// Priority among accounts; 0 is the highest.
@@ -25,9 +28,10 @@
 }
 
 impl Share {
-    /// The standing that follows from the share.
+    /// The standing of the account's work that is within its rate.
     pub fn standing(&self) -> Standing {
-        Standing { above_share: self.used > self.due, priority: self.priority }
+        let above_share = self.used > self.due;
+        Standing { above_share, priority: self.priority, over_rate: false }
     }
 }
 
@@ -79,7 +83,7 @@
         Shares(shares)
     }
 
-    /// The standing of an account; that of work without an account is the best.
+    /// The standing of an account's work that is within its rate.
     pub fn standing(&self, account: Option<&str>) -> Standing {
         self.of(account).map(|share| share.standing()).unwrap_or_default()
     }
--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -12,7 +12,7 @@
 
 pub use claims::Claim;
 pub use isolation::Isolation;
-pub use urgency::{rank, Urgency};
+pub use urgency::{rank, Rank, Urgency, WORTHLESS_AFTER_OBJECTIVES};
 
 use choose::{candidates, place_each, place_gang, Candidate};
 use jobs::{LifeId, Placement, ResourceVector, RunNumber, StepRef, TaskRef, WorkerInfo};
@@ -107,6 +107,9 @@
     pub renewal: Duration,
     /// Whether workers have crashed while they ran these tasks.
     pub suspect: bool,
+    /// Whether the step gets only what is left over: no capacity is claimed for it while others
+    /// wait, and no run is paused.
+    pub yields: bool,
 }
 
 /// Decisions of a pass.
@@ -195,12 +198,25 @@
             Some(chosen) if chosen.iter().all(|(_, c)| c.ready) => {
                 record_choice(self.workers, demand, &chosen, &mut self.plan);
             }
+            Some(chosen) if demand.yields && !self.plan.unplaced.is_empty() => {
+                give_back(self.workers, demand, &chosen);
+                self.plan.unplaced.push(demand.step);
+            }
             Some(chosen) => self.claim_chosen(demand, &chosen),
+            None if demand.yields => self.plan.unplaced.push(demand.step),
             None => self.claim_future_capacity(demand),
         }
     }
 }
 
+/// Returns the capacity that was taken for a choice that is not carried out.
+fn give_back(workers: &mut [WorkerCapacity<'_>], demand: &Demand, chosen: &[(u32, Candidate)]) {
+    for (_, candidate) in chosen {
+        let worker = &mut workers[candidate.worker];
+        worker.free = worker.free.plus(&demand.need);
+    }
+}
+
 /// Records the chosen workers in the plan: a placement where a start can be sent, else a renewal.
 fn record_choice(
     workers: &[WorkerCapacity<'_>],
--- a/crates/placement/src/steps/reclaim.rs
+++ b/crates/placement/src/steps/reclaim.rs
@@ -10,7 +10,7 @@
     /// Pauses runs of lower priority for `count` tasks of a tight step. Only runs that can resume
     /// without loss are paused. Capacity of runs that are being stopped already is used first.
     pub(super) fn pause_for_tasks(&mut self, demand: &Demand, count: usize) {
-        if !demand.tight || !demand.can_wait_for_stop {
+        if !demand.tight || !demand.can_wait_for_stop || demand.yields {
             return;
         }
         let mut missing = count;
--- a/crates/placement/src/steps/urgency.rs
+++ b/crates/placement/src/steps/urgency.rs
@@ -1,10 +1,11 @@
 //! The order in which steps are placed.
 
+use accounts::Standing;
 use std::time::Duration;
 use types::Timestamp;
 
 /// A late job still has value up to this multiple of its objective; after that it goes last.
-const WORTHLESS_AFTER_OBJECTIVES: u32 = 3;
+pub const WORTHLESS_AFTER_OBJECTIVES: u32 = 3;
 
 /// The timing of a job, which determines its rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,26 +31,58 @@
     }
 }
 
-/// Sort key of a job. Jobs that can be on time come first, then late jobs that still have value,
-/// then the rest. Within each tier jobs are ordered by priority, then by latest start.
+/// Place of a step in the order in which steps are served; lower ones come first. The fields are
+/// compared from top to bottom, so that their order is the order of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Whether the job can't end within three objectives any more, so that it has no value.
+    pub worthless: bool,
+    /// Whether the job is beyond its account's rate.
+    pub over_rate: bool,
+    /// Whether the job can't be on time any more.
+    pub late: bool,
+    /// Priority of the job's queue; 0 is the highest.
+    pub priority: u32,
+    /// Whether the account uses more than its share.
+    pub above_share: bool,
+    /// Priority among accounts; 0 is the highest.
+    pub account_priority: u32,
+    /// Latest start with which the job is on time.
+    pub latest_start: Timestamp,
+}
+
+impl Rank {
+    /// Whether the step gets only what is left over: no room is claimed for it and no run is
+    /// paused.
+    pub fn yields(&self) -> bool {
+        self.worthless || self.over_rate
+    }
+}
+
+/// The rank of a step, from the timing of its job and the standing of its account.
 ///
 /// ```
+/// use accounts::Standing;
 /// use placement::steps::{rank, Urgency};
 /// use std::time::Duration;
 /// let s = Duration::from_secs;
 /// let soon = Urgency { priority: 2, submitted: s(10), objective: s(8), left: s(2) };
 /// let too_late = Urgency { priority: 0, submitted: s(0), objective: s(8), left: s(9) };
-/// assert!(rank(&soon, s(11)) < rank(&too_late, s(11)));
+/// let standing = Standing::default();
+/// assert!(rank(&soon, &standing, s(11)) < rank(&too_late, &standing, s(11)));
+/// let flood = Standing { over_rate: true, ..standing };
+/// assert!(rank(&too_late, &standing, s(11)) < rank(&soon, &flood, s(11)));
 /// ```
-pub fn rank(urgency: &Urgency, now: Timestamp) -> (u8, u32, Timestamp) {
+pub fn rank(urgency: &Urgency, standing: &Standing, now: Timestamp) -> Rank {
     let Urgency { priority, submitted, objective, left } = *urgency;
     let done_by = now + left;
-    let tier = if done_by <= submitted + objective {
-        0
-    } else if done_by <= submitted + objective * WORTHLESS_AFTER_OBJECTIVES {
-        1
-    } else {
-        2
-    };
-    (tier, priority, (submitted + objective).saturating_sub(left))
+    Rank {
+        worthless: done_by > submitted + objective * WORTHLESS_AFTER_OBJECTIVES,
+        over_rate: standing.over_rate,
+        late: done_by > submitted + objective,
+        priority,
+        above_share: standing.above_share,
+        account_priority: standing.priority,
+        latest_start: (submitted + objective).saturating_sub(left),
+    }
 }
--- a/crates/placement/tests/gangs.rs
+++ b/crates/placement/tests/gangs.rs
@@ -51,6 +51,7 @@
         stop_time: STOP,
         renewal: RENEWAL,
         suspect: false,
+        yields: false,
     }
 }
 
@@ -140,3 +141,27 @@
     assert!(decided.claims.is_empty(), "{:?}", decided.claims);
     assert_eq!(decided.waiting.len(), 1, "it waits for the run to end");
 }
+
+/// Guards against work that nobody is owed and that holds room of work that is.
+#[test]
+fn a_gang_that_gets_what_is_left_over_claims_nothing_while_others_wait() {
+    let infos = vec![info(); 2];
+    let leftover = Demand { yields: true, ..gang(1, 4, 4) };
+    let decided =
+        plan(&mut capacities(&infos, &[8, 2]), &[], std::slice::from_ref(&leftover), NOW, |life| {
+            pausable(life, 3, 2)
+        });
+    assert!(decided.claims.is_empty() && decided.waiting.is_empty() && decided.pauses.is_empty());
+    let stale = EligibleWorkers::Only(vec![(1, NOW), (2, NOW)]);
+    let leftover = Demand { eligible: stale, ..leftover };
+    let none = |_| Reclaimable::default();
+    let too_wide = Demand { gang: false, ..gang(2, 1, 9) };
+    let small = Demand { gang: false, ..gang(3, 4, 4) };
+    let demands = [too_wide, leftover.clone(), small];
+    let beside = plan(&mut capacities(&infos, &[8, 8]), &[], &demands, NOW, none);
+    assert!(beside.claims.is_empty(), "another step waits");
+    assert_eq!(beside.placements.len(), 1, "what it does not hold is free for the next one");
+    assert_eq!(beside.placements[0].tasks.len(), 4);
+    let alone = plan(&mut capacities(&infos, &[8, 8]), &[], &[leftover], NOW, none);
+    assert_eq!(alone.claims.len(), 1, "it is served once nobody else waits");
+}
--- a/crates/placement/tests/steps.rs
+++ b/crates/placement/tests/steps.rs
@@ -1,5 +1,6 @@
 //! Placement passes over waiting steps: single rules, and a simulated burst of urgent jobs.
 
+use accounts::Standing;
 use jobs::{LifeId, Placement, ResourceVector, StepRef, TaskRef, WorkerInfo};
 use placement::steps::{
     plan, rank, Demand, EligibleWorkers, Isolation, PausableRun, Reclaimable, StepPlan, Urgency,
@@ -57,6 +58,7 @@
         stop_time: Duration::from_millis(200),
         renewal: Duration::from_millis(500),
         suspect: false,
+        yields: false,
     }
 }
 
@@ -178,7 +180,7 @@
         ("urgent", urgency(0, 100, 2, 1)),
         ("late urgent", urgency(0, 97, 3, 1)),
     ];
-    all.sort_by_key(|(_, urgency)| rank(urgency, s(100)));
+    all.sort_by_key(|(_, urgency)| rank(urgency, &Standing::default(), s(100)));
     let names: Vec<&str> = all.iter().map(|(name, _)| *name).collect();
     assert_eq!(names, ["urgent", "batch", "late urgent", "late batch", "hopeless"]);
 }
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -2,6 +2,7 @@
 //! placement.
 
 use crate::config::NodeConfig;
+use crate::fairness::Fairness;
 use crate::job_log::{hex, kind_name, log_given_up, log_job_over, log_runs_lost, objective_ms};
 use crate::node::NodeStats;
 use crate::planning::urgency;
@@ -18,6 +19,8 @@
 pub(crate) const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum time between two placement passes while steps wait.
 pub(crate) const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(200);
+/// Priority of runs that were started with what others left over: all others may pause them.
+const LOWEST_PRIORITY: u32 = u32::MAX;
 /// Numbers of orders and advice calls of a term start at the term times this.
 const NUMBERS_PER_TERM: u64 = 1 << 32;
 /// Fences of a term start at the term times this; the life is added.
@@ -61,6 +64,7 @@
     pub(crate) next_trim: Timestamp,
     pub(crate) scheduled: Vec<JobId>,
     pub(crate) speeds: Speeds,
+    pub(crate) fairness: Fairness,
     /// Longest time that a worker may take to stop a run.
     pub(crate) stop_time: Duration,
     /// Workers whose lives ended in this step, with tasks that their next lives may still start.
@@ -100,6 +104,7 @@
             next_trim: now + Duration::from_secs(60),
             scheduled: Vec::new(),
             speeds: Speeds::default(),
+            fairness: Fairness::new(now),
             stop_time: cfg.stop_time,
             ended_lives: Vec::new(),
             zones: Zones::default(),
@@ -377,7 +382,7 @@
     let from_start = run == 1 || !spec.checkpoint;
     Some(RunTraits {
         queue: job.queue,
-        priority: state.policy(job.queue).priority,
+        priority: if job.over_rate { LOWEST_PRIORITY } else { state.policy(job.queue).priority },
         need: spec.charge(),
         estimate: spec.estimate,
         from_scratch: alone && from_start && !spec.long_running,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -33,6 +33,7 @@
 mod config_delivery;
 mod crashes;
 mod duties;
+mod fairness;
 mod follower_reads;
 mod gossip;
 mod group;
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -9,7 +9,7 @@
 use jobs::{Command, LifeId, Placement, Progress, RunNumber, State, StepRef, TaskRef};
 use placement::speeds::Speeds;
 use placement::steps::{
-    plan, rank, Claim, Demand, EligibleWorkers, PausableRun, Reclaimable, StepPlan, Urgency,
+    plan, rank, Claim, Demand, EligibleWorkers, PausableRun, Rank, Reclaimable, StepPlan, Urgency,
     WorkerCapacity,
 };
 use std::cmp::Reverse;
@@ -103,10 +103,15 @@
         let mut workers = self.worker_capacities(state, now);
         let mut calls = Vec::new();
         let mut demands = Vec::new();
-        let steps = self.due_steps(now);
+        self.fairness.refresh(state, &self.ready, &workers, now);
+        let steps = self.due_steps(state, now);
         let claimed = self.live_claims(state, now);
-        for (step, urgency) in steps {
+        for (step, urgency, yields) in steps {
             match self.demand(state, step, &urgency, now) {
+                Some(demand) if yields => {
+                    let demand = Demand { yields, ..demand };
+                    demands.extend(split_suspects(state, demand));
+                }
                 Some(demand) => demands.extend(split_suspects(state, demand)),
                 None => {
                     self.schedule_retry(step, now + ADVICE_RETRY_INTERVAL);
@@ -138,18 +143,23 @@
         PassResult { placements, calls, pauses: decided.pauses }
     }
 
-    /// Waiting steps without a claim whose retry time has come, the most urgent first.
-    fn due_steps(&self, now: Timestamp) -> Vec<(StepRef, Urgency)> {
+    /// Waiting steps without a claim whose retry time has come, in the order in which they are
+    /// served, and whether each one gets only what is left over.
+    fn due_steps(&self, state: &State, now: Timestamp) -> Vec<(StepRef, Urgency, bool)> {
         let due = |step: &StepRef| {
             self.retry_at.get(step).is_none_or(|at| now >= *at)
                 && !self.claims.iter().any(|claim| claim.step == *step)
         };
         let ranked = self.ready.iter().filter(|(step, _)| due(step));
-        let ranked = ranked.map(|(step, urgency)| (rank(urgency, now), *step, *urgency));
+        let ranked = ranked.map(|(step, urgency)| {
+            let standing = self.fairness.standing(state, step.job);
+            (rank(urgency, &standing, now), *step, *urgency)
+        });
         let mut ranked: Vec<_> = ranked.collect();
         ranked.sort_unstable_by_key(|(rank, step, _)| (*rank, *step));
         ranked.truncate(MAX_STEPS_PER_PASS);
-        ranked.into_iter().map(|(_, step, urgency)| (step, urgency)).collect()
+        let yields = |rank: Rank| self.fairness.is_active() && rank.yields();
+        ranked.into_iter().map(|(rank, step, urgency)| (step, urgency, yields(rank))).collect()
     }
 
     /// Removes claims that were placed or given up, and adds new ones.
@@ -313,6 +323,7 @@
             stop_time: self.stop_time,
             renewal,
             suspect: spec.gang && state.has_suspects(step),
+            yields: false,
         })
     }
 }
