--- a/crates/jobs/src/state/legacy.rs
+++ b/crates/jobs/src/state/legacy.rs
@@ -143,6 +143,7 @@
             occurrences: old.occurrences,
             opened: old.opened,
             finished: old.finished,
+            over_rate: false,
         }
     }
 }
@@ -164,6 +165,7 @@
             last_life: old.last_life,
             in_doubt: old.in_doubt,
             crashes: old.crashes,
+            ..State::default()
         }
     }
 }
