Quotas of accounts in the replicated state

Change: the state counts what runs and starts in doubt use, by account, and places nothing beyond the quota in force; a gang whole or not at all. Runs that are being stopped count until they are settled, also those of ended jobs, which are kept that long. A start in doubt carries what it would use. A task or gang that can never fit is refused at submission. An account that is dropped keeps its last quota while its jobs are open.

--- a/crates/accounts/src/quota.rs
+++ b/crates/accounts/src/quota.rs
@@ -15,8 +15,10 @@
 
     /// Adds what a task that starts will use.
     pub fn take(&mut self, account: &AccountName, need: &ResourceVector) {
-        let used = self.0.get_or_insert_with(account.clone(), ResourceVector::default);
-        *used = used.plus(need);
+        if *need != ResourceVector::default() {
+            let used = self.0.get_or_insert_with(account.clone(), ResourceVector::default);
+            *used = used.plus(need);
+        }
     }
 
     /// Subtracts what a task that has ended used.
@@ -42,15 +44,20 @@
     /// assert_eq!(usage.room(&account).memory, u64::MAX);
     /// ```
     pub fn room(&self, account: &Account) -> ResourceVector {
-        let used = self.of(&account.name);
+        self.room_under(&account.quota, &account.name)
+    }
+
+    /// What the account with this name may still start under a quota that is kept elsewhere.
+    pub fn room_under(&self, quota: &ResourceVector, account: &str) -> ResourceVector {
+        let used = self.of(account);
         let left = |limit: u64, used: u64| match limit {
             0 => u64::MAX,
             limit => limit.saturating_sub(used),
         };
         ResourceVector {
-            cpu: left(account.quota.cpu, used.cpu),
-            memory: left(account.quota.memory, used.memory),
-            gpu: left(account.quota.gpu, used.gpu),
+            cpu: left(quota.cpu, used.cpu),
+            memory: left(quota.memory, used.memory),
+            gpu: left(quota.gpu, used.gpu),
         }
     }
 }
--- a/crates/jobs/src/codec.rs
+++ b/crates/jobs/src/codec.rs
@@ -66,7 +66,7 @@
         }
         let state = match data.strip_prefix(&SNAPSHOT_MAGIC) {
             None => legacy::decode_state(data),
-            Some([SNAPSHOT_LAYOUT, data @ ..]) => postcard::from_bytes(data),
+            Some([SNAPSHOT_LAYOUT, data @ ..]) => postcard::from_bytes(data).map(State::recounted),
             Some(rest) => {
                 let layout = rest.first().copied().unwrap_or_default();
                 return Err(DecodeError::unknown_layout(SNAPSHOT, layout));
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -6,7 +6,7 @@
 use crate::model::{End, EndKind, JobRequest, LifeId, Placement, RunNumber, StepRef, TaskRef};
 use accounts::KeyDigest;
 use serde::{Deserialize, Serialize};
-use types::{JobId, Timestamp, Version, WorkerId};
+use types::{AccountName, JobId, Timestamp, Version, WorkerId};
 
 /// A change of the state, as written to the replicated log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -135,8 +135,8 @@
     UnknownKey,
     /// Another account has a job with this id.
     IdTaken,
-    /// A gang of the job needs more at the same time than the account's quota allows: the index of
-    /// its step.
+    /// A task or gang of the job needs more at the same time than the account's quota allows: the
+    /// index of its step.
     BeyondQuota(u16),
     /// Version of the current configuration, which may be higher than the proposed one.
     InForce(Version),
@@ -151,6 +151,15 @@
     Accepted(JobId),
     /// Tasks of the step can be assigned to workers now.
     Ready(StepRef),
+    /// A job was refused: a step of it can't run within the account's quota.
+    BeyondQuota {
+        /// Id of the job.
+        job: JobId,
+        /// Index of the step.
+        step: u16,
+        /// Account of the caller.
+        account: AccountName,
+    },
     /// A task was assigned to a worker.
     Placed {
         /// Life that runs the task.
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -74,11 +74,10 @@
         self.runs.push(run);
     }
 
-    pub(crate) fn remove(&mut self, task: TaskRef, run: RunNumber) -> bool {
-        let found = self.runs.iter().position(|r| (r.task, r.run) == (task, run));
-        let Some(i) = found else { return false };
+    pub(crate) fn remove(&mut self, task: TaskRef, run: RunNumber) -> Option<Run> {
+        let i = self.runs.iter().position(|r| (r.task, r.run) == (task, run))?;
         let removed = self.runs.remove(i);
         self.used = self.used.minus(&removed.need);
-        true
+        Some(removed)
     }
 }
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -162,6 +162,8 @@
     pub task: TaskRef,
     /// When the life ended.
     pub at: Timestamp,
+    /// Resources that the task would use.
+    pub need: ResourceVector,
 }
 
 /// Outcome of a run.
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod ends;
 pub(crate) mod legacy;
+mod usage;
 
 use crate::command::{Command, Effect, Reply};
 use crate::configuration::{Configuration, QueueAddress, QueuePolicy, UnknownKey};
@@ -10,7 +11,7 @@
 use crate::job::{Job, Occurrence, Phase, Progress};
 use crate::life::{Life, Run, WorkerInfo};
 use crate::model::{InDoubtStart, JobRequest, LifeId, Placement, QueueId, StepRef, TaskRef};
-use accounts::KeyDigest;
+use accounts::{KeyDigest, Usage};
 use ends::end_job;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -37,6 +38,11 @@
     last_life: LifeId,
     in_doubt: Vec<InDoubtStart>,
     crashes: CrashRecords,
+    /// Quotas of accounts that are no longer configured and whose jobs are not over.
+    former_quotas: SortedMap<AccountName, ResourceVector>,
+    /// What the runs of each account use. Not part of snapshots: it follows from the rest.
+    #[serde(skip)]
+    usage: Usage,
 }
 
 impl State {
@@ -144,17 +150,16 @@
                 Reply::Done
             }
             Command::StartsInDoubt { worker, tasks, at } => {
-                let entry = |task| InDoubtStart { worker: worker.clone(), task, at };
-                self.in_doubt.extend(tasks.into_iter().map(entry));
+                self.starts_in_doubt(&worker, tasks, at);
                 Reply::Done
             }
             Command::StartsResolved { worker, upto } => {
                 self.in_doubt.retain(|start| start.worker != worker || start.at > upto);
+                self.recount_usage();
                 Reply::Done
             }
             Command::TrimJobs { before } => {
-                self.jobs.retain(|_, job| job.ended.is_none_or(|ended| ended >= before));
-                self.forget_crashes_of_ended();
+                self.trim_jobs(before);
                 Reply::Done
             }
             Command::WorkerCrashed { life, runs, at } => {
@@ -188,7 +193,9 @@
                     Err(_) => self.queues.push(queue),
                 }
             }
+            self.keep_former_quotas(&configuration);
             self.configuration = Arc::new(configuration);
+            self.recount_usage();
             effects.push(Effect::Configured);
         }
         Reply::InForce(self.configuration.version)
@@ -210,9 +217,14 @@
         if let Some(job) = known {
             return if job.account == account { Reply::Done } else { Reply::IdTaken };
         }
+        if let Some((account, step)) = self.step_beyond_quota(account.as_ref(), &request) {
+            effects.push(Effect::BeyondQuota { job: id, step, account: account.clone() });
+            return Reply::BeyondQuota(step);
+        }
         let scheduled = request.schedule.is_some();
         let job = Job::new(id, queue, account, request, at);
         self.jobs.insert(id, Box::new(job));
+        self.charge_earlier_runs(id);
         effects.push(Effect::Accepted(id));
         if !scheduled {
             self.open_occurrences(id, 1, effects);
@@ -252,7 +264,16 @@
         Reply::Done
     }
 
-    /// Assigns the tasks that can still be assigned; for a gang either all tasks or none.
+    /// Removes jobs that ended before this time, but those whose use still counts for an account.
+    fn trim_jobs(&mut self, before: Timestamp) {
+        let charged = self.charged_jobs();
+        let kept = |job: &Job| job.account.is_some() && charged.binary_search(&job.id).is_ok();
+        self.jobs.retain(|_, job| job.ended.is_none_or(|ended| ended >= before) || kept(job));
+        self.forget_crashes_of_ended();
+    }
+
+    /// Assigns the tasks that can still be assigned and for which the account has room; for a gang
+    /// either all tasks or none.
     fn place(&mut self, placement: &Placement, effects: &mut Vec<Effect>) {
         let Placement { step, tasks } = placement;
         let Some(job) = self.jobs.get(&step.job).filter(|job| job.is_ready(*step)) else { return };
@@ -260,6 +281,8 @@
         let spec = &request.steps[usize::from(step.step)];
         let (need, gang, max_per_worker) = (spec.charge(), spec.gang, spec.max_per_worker);
         let service = self.policy(job.queue).service.clone();
+        let account = job.account.clone();
+        let mut room = account.as_ref().map(|account| self.room(account));
         let is_in_doubt = |index: u32| {
             let task = TaskRef { step: *step, index };
             self.in_doubt.iter().any(|start| start.task == task)
@@ -276,12 +299,16 @@
         let mut taken: Vec<(u32, LifeId)> = Vec::with_capacity(valid.len());
         for (index, id) in &valid {
             let Some(life) = self.lives.get_mut(id) else { continue };
+            if room.is_some_and(|room| !need.fits_in(&room)) {
+                break;
+            }
             let on_worker = life.runs.iter().filter(|run| run.task.step == *step).count();
             let fits = need.fits_in(&life.free()) && !life.info.draining;
             let below_limit = max_per_worker == 0 || on_worker < max_per_worker as usize;
             if fits && below_limit && life.info.service == service {
                 let task = TaskRef { step: *step, index: *index };
                 life.add(Run { task, run: 0, need });
+                room = room.map(|room| room.minus(&need));
                 taken.push((*index, *id));
             }
         }
@@ -301,6 +328,9 @@
             let run = task.run;
             let placed = life.runs.iter_mut().find(|r| r.task == task_ref && r.run == 0);
             placed.expect("pushed above").run = run;
+            if let Some(account) = &account {
+                self.usage.take(account, &need);
+            }
             effects.push(Effect::Placed { life: id, task: task_ref, run });
         }
     }
@@ -347,6 +377,7 @@
         let Some(life) = self.lives.remove(&id) else { return };
         self.crashes.silent.remove(&id);
         effects.push(Effect::LifeOver(id));
+        self.recount_usage();
         for Run { task, run, .. } in life.runs {
             self.requeue_task(id, task, run, effects);
         }
--- a/crates/jobs/src/state/ends.rs
+++ b/crates/jobs/src/state/ends.rs
@@ -20,7 +20,8 @@
         }
         life.last_seen = end.number;
         let End { task, run, kind, saved, .. } = end;
-        if life.remove(task, run) {
+        if let Some(removed) = life.remove(task, run) {
+            self.release_use(&removed);
             effects.push(Effect::Freed { life: id, task, run, kind: Some(kind) });
         }
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
@@ -98,10 +99,10 @@
         run: RunNumber,
         effects: &mut Vec<Effect>,
     ) {
-        if let Some(life) = self.lives.get_mut(&id) {
-            if life.remove(task, run) {
-                effects.push(Effect::Freed { life: id, task, run, kind: None });
-            }
+        let removed = self.lives.get_mut(&id).and_then(|life| life.remove(task, run));
+        if let Some(removed) = removed {
+            self.release_use(&removed);
+            effects.push(Effect::Freed { life: id, task, run, kind: None });
         }
         self.requeue_task(id, task, run, effects);
     }
--- a/crates/jobs/src/state/legacy.rs
+++ b/crates/jobs/src/state/legacy.rs
@@ -8,11 +8,11 @@
 use crate::crashes::CrashRecords;
 use crate::job::{Job, Occurrence, Phase};
 use crate::life::Life;
-use crate::model::{InDoubtStart, JobRequest, LifeId, QueueId};
+use crate::model::{JobRequest, LifeId, QueueId, TaskRef};
 use serde::Deserialize;
 use std::sync::Arc;
 use std::time::Duration;
-use types::{JobId, ServiceName, SortedMap, Timestamp, Version};
+use types::{JobId, ServiceName, SortedMap, Timestamp, Version, WorkerId};
 
 /// Encoding of the last part of the state if no crashes are known. Still earlier releases lack it.
 const NO_CRASH_RECORDS: [u8; 2] = [0, 0];
@@ -60,6 +60,13 @@
     finished: u32,
 }
 
+#[derive(Deserialize)]
+struct OldInDoubtStart {
+    worker: WorkerId,
+    task: TaskRef,
+    at: Timestamp,
+}
+
 #[derive(Deserialize)]
 struct OldState {
     configuration: OldConfiguration,
@@ -67,7 +74,7 @@
     jobs: Vec<(JobId, OldJob)>,
     lives: SortedMap<LifeId, Box<Life>>,
     last_life: LifeId,
-    in_doubt: Vec<InDoubtStart>,
+    in_doubt: Vec<OldInDoubtStart>,
     crashes: CrashRecords,
 }
 
@@ -156,15 +163,19 @@
 impl From<OldState> for State {
     fn from(old: OldState) -> State {
         let job = |(id, job): (JobId, OldJob)| (id, Box::new(job.into()));
-        State {
+        let mut state = State {
             configuration: Arc::new(old.configuration.into()),
             queues: old.queues.into_iter().map(Queue::from).collect(),
             jobs: old.jobs.into_iter().map(job).collect(),
             lives: old.lives,
             last_life: old.last_life,
-            in_doubt: old.in_doubt,
             crashes: old.crashes,
+            ..State::default()
+        };
+        for OldInDoubtStart { worker, task, at } in old.in_doubt {
+            state.starts_in_doubt(&worker, vec![task], at);
         }
+        state
     }
 }
 
--- a/crates/scheduler/src/job_log.rs
+++ b/crates/scheduler/src/job_log.rs
@@ -34,6 +34,11 @@
     }
 }
 
+pub(crate) fn log_beyond_quota(job: JobId, step: u16, account: &str) {
+    log::info!(job = hex(job).as_str(), step = step, account = account;
+        "job refused: a step needs more at once than its account's quota allows");
+}
+
 pub(crate) fn log_given_up(task: TaskRef, crashes: TaskCrashes) {
     log::warn!(job = hex(task.step.job).as_str(), step = task.step.step, index = task.index,
         certain = crashes.certain, possible = crashes.possible, sure = crashes.sure;
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -2,7 +2,9 @@
 //! placement.
 
 use crate::config::NodeConfig;
-use crate::job_log::{hex, kind_name, log_given_up, log_job_over, log_runs_lost, objective_ms};
+use crate::job_log::{
+    hex, kind_name, log_beyond_quota, log_given_up, log_job_over, log_runs_lost, objective_ms,
+};
 use crate::node::NodeStats;
 use crate::planning::urgency;
 use crate::zones::Zones;
@@ -188,6 +190,9 @@
                     self.add_ready(state, step);
                     self.plan_due = true;
                 }
+                Effect::BeyondQuota { job, step, ref account } => {
+                    log_beyond_quota(job, step, account);
+                }
                 Effect::GivenUp { task, crashes } => {
                     stats.jobs_given_up += 1;
                     log_given_up(task, crashes);
--- a/crates/types/src/resource_vector.rs
+++ b/crates/types/src/resource_vector.rs
@@ -33,6 +33,21 @@
         }
     }
 
+    /// This amount for each of `count` tasks, saturating for each resource.
+    ///
+    /// ```
+    /// let need = types::ResourceVector { cpu: 500, ..types::ResourceVector::default() };
+    /// assert_eq!(need.times(3).cpu, 1_500);
+    /// ```
+    pub fn times(&self, count: u32) -> ResourceVector {
+        let count = u64::from(count);
+        ResourceVector {
+            cpu: self.cpu.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            gpu: self.gpu.saturating_mul(count),
+        }
+    }
+
     /// The difference of both amounts, saturating at zero for each resource.
     pub fn minus(&self, other: &ResourceVector) -> ResourceVector {
         ResourceVector {
