Keys are checked where a call arrives, and a revoked key works nowhere after the bound

Cause: a host that is cut off or wakes up from a freeze knows old keys, and nothing limited for how long it relied on them. An unknown key was only noticed at the leader. Change: one function, accounts::Admittance, decides by the caller's claim and by the age of the host's confirmed configuration: 401 with www-authenticate only if the host is sure, 503 otherwise. A configuration is confirmed as of the time at which the host sent its heartbeat, less the time since which the leader can't rule out that it was deposed (Raft::confirmed_at). Debug of a configuration leaves out the operator's document.

--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -17,9 +17,11 @@
 //! ```
 
 mod account;
+mod admittance;
 mod key;
 mod quota;
 
 pub use account::{Account, AccountBuilder, Accounts};
+pub use admittance::{Admittance, Claim, Freshness};
 pub use key::KeyDigest;
 pub use quota::Usage;
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -52,6 +52,8 @@
     pub(crate) progress: SortedMap<MemberId, Progress>,
     /// Number of the latest confirmation round.
     pub(crate) round: u64,
+    /// When the rounds that a majority has not answered yet were begun, and the latest that it has.
+    round_starts: Vec<(u64, Timestamp)>,
     /// Index of the first entry of this term. Reads wait until it is committed.
     pub(crate) term_start: Index,
     /// Target and deadline of a leadership transfer.
@@ -59,6 +61,27 @@
     pub(crate) next_heartbeat: Timestamp,
 }
 
+impl Leader {
+    /// Begins a confirmation round and returns its number.
+    pub(crate) fn start_round(&mut self, now: Timestamp) -> u64 {
+        self.round += 1;
+        self.round_starts.push((self.round, now));
+        self.round
+    }
+
+    /// When the latest round up to `round` was begun.
+    fn round_start(&self, round: u64) -> Option<Timestamp> {
+        let after = self.round_starts.partition_point(|(begun, _)| *begun <= round);
+        self.round_starts[..after].last().map(|(_, at)| *at)
+    }
+
+    /// Forgets when rounds before the latest up to `round` were begun.
+    fn forget_rounds_before(&mut self, round: u64) {
+        let after = self.round_starts.partition_point(|(begun, _)| *begun <= round);
+        self.round_starts.drain(..after.saturating_sub(1));
+    }
+}
+
 /// A snapshot of which some parts have been received.
 #[derive(Debug)]
 pub(crate) struct IncomingSnapshot {
@@ -315,9 +338,9 @@
     /// leader. See [`Raft::confirmed_round`].
     pub fn begin_round(&mut self) -> Option<u64> {
         let State::Leader(l) = &mut self.state else { return None };
-        l.round += 1;
+        let round = l.start_round(self.now);
         self.broadcast_due = true;
-        Some(l.round)
+        Some(round)
     }
 
     /// The latest round that a majority has answered, which shows that this member still led after
@@ -337,6 +360,16 @@
         }
     }
 
+    /// The latest time at which this member certainly led: no other leader had committed anything by
+    /// then. `None` unless [`Raft::has_committed_in_term`].
+    pub fn confirmed_at(&self) -> Option<Timestamp> {
+        let round = self.confirmed_round()?;
+        match &self.state {
+            State::Leader(l) => l.round_start(round),
+            _ => None,
+        }
+    }
+
     /// Replaces the log up to `index` by a snapshot, where `data` is the encoded state after that
     /// entry. Ignored if `index` is not applied yet or not after the latest snapshot.
     pub fn compact(&mut self, index: Index, data: Vec<u8>) {
@@ -515,6 +548,7 @@
         self.state = State::Leader(Leader {
             progress,
             round: 0,
+            round_starts: vec![(0, self.now)],
             term_start: next,
             transfer: None,
             next_heartbeat: self.now + self.tuning.heartbeat,
@@ -528,7 +562,9 @@
     fn tick_leader(&mut self) {
         let (now, timeout) = (self.now, self.tuning.election_timeout);
         let id = self.id;
+        let confirmed = self.confirmed_round().unwrap_or(0);
         let State::Leader(l) = &mut self.state else { return };
+        l.forget_rounds_before(confirmed);
         l.next_heartbeat = now + self.tuning.heartbeat;
         if l.transfer.is_some_and(|(_, until)| now >= until) {
             l.transfer = None;
@@ -540,7 +576,7 @@
             self.become_follower(None);
             return;
         }
-        l.round += 1;
+        l.start_round(now);
         self.broadcast();
         if self.log.config().get(self.id).is_some_and(|m| m.role == Role::Witness) {
             if let Some(to) = self.transfer_target() {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -130,6 +130,7 @@
     /// Sends again what a member lacks, once for all appends on their way that it rejects for the same
     /// gap: a round of its own tells their rejections from those of what is sent from now on.
     fn on_rejection(&mut self, from: MemberId, index: Index, round: u64) {
+        let now = self.now;
         let State::Leader(l) = &mut self.state else { return };
         let Some(progress) = l.progress.get_mut(&from) else { return };
         if round < progress.resent_round {
@@ -140,8 +141,10 @@
         // After a rejection that does not move `next`, wait for the next heartbeat. Resending at
         // once would repeat the exchange in a loop at network speed.
         if progress.next != before {
-            l.round += 1;
-            progress.resent_round = l.round;
+            let round = l.start_round(now);
+            if let Some(progress) = l.progress.get_mut(&from) {
+                progress.resent_round = round;
+            }
             self.send_append(from);
         }
     }
--- a/crates/emulator/src/heartbeats.rs
+++ b/crates/emulator/src/heartbeats.rs
@@ -72,6 +72,7 @@
         let heartbeat = HostHeartbeat {
             process: 7,
             version: 1,
+            sent_at: self.now,
             draining: false,
             zone: "z0".into(),
             capacities: follower.map_or_else(Vec::new, |follower| self.pass_on_reports(follower)),
--- a/crates/jobs/src/configuration.rs
+++ b/crates/jobs/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use accounts::{Account, Accounts, KeyDigest};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::time::Duration;
 use types::{ServiceName, Version};
 
@@ -104,7 +105,7 @@
 }
 
 /// The complete configuration. The one with the highest version is current.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Version number; 0 before the first configuration.
     pub version: Version,
@@ -116,10 +117,23 @@
     pub limits: RequestLimits,
     /// Client accounts. If there are none, no caller needs a key.
     pub accounts: Accounts,
-    /// The original document, as submitted by the operator.
+    /// The original document, as submitted by the operator. It holds the keys of the accounts.
     pub document: Vec<u8>,
 }
 
+/// Leaves out the document, so that no key gets into a log.
+impl fmt::Debug for Configuration {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Configuration")
+            .field("version", &self.version)
+            .field("queues", &self.queues)
+            .field("services", &self.services)
+            .field("limits", &self.limits)
+            .field("accounts", &self.accounts)
+            .finish_non_exhaustive()
+    }
+}
+
 /// A caller's key that no account holds, or a missing one where one is needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnknownKey;
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -23,6 +23,10 @@
     pub drained: bool,
     /// Whether the known configuration is recent.
     pub has_recent_configuration: bool,
+    /// When the group certainly had no newer configuration than this host; `None` if never.
+    pub confirmed_at: Option<Timestamp>,
+    /// Whether the group is known to have a newer configuration.
+    pub outdated: bool,
 }
 
 type PendingCalls = SortedMap<ExchangeId, oneshot::Sender<Result<Answer, Refusal>>>;
--- a/crates/scheduler/src/call.rs
+++ b/crates/scheduler/src/call.rs
@@ -73,6 +73,17 @@
         !matches!(self, Call::JobPhase { .. } | Call::CountWaiting { .. } | Call::ReadConfiguration)
     }
 
+    /// Queue and key of a caller's call; `None` for calls of workers and operators.
+    pub(crate) fn credentials(&self) -> Option<(&QueueAddress, Option<&KeyDigest>)> {
+        match self {
+            Call::Submit { queue, key, .. }
+            | Call::Cancel { queue, key, .. }
+            | Call::JobPhase { queue, key, .. }
+            | Call::CountWaiting { queue, key } => Some((queue, key.as_ref())),
+            _ => None,
+        }
+    }
+
     /// Name of the call in logs.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -207,6 +207,12 @@
     fn serve(&mut self, origin: Origin, call: Call) {
         let Some(group) = &self.group else { return self.redirect(origin) };
         let state = &group.state;
+        if call.credentials().is_some_and(|(queue, key)| !self.may_serve(queue, key)) {
+            log::warn!(call = call.name(), version = self.configuration.version;
+                "call not served: keys may have changed since leadership was last confirmed");
+            // Not refused: an earlier copy of the call may take effect.
+            return self.redirect(origin);
+        }
         match call {
             Call::Submit { id, queue, request, key } => {
                 let at = self.now;
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -17,6 +17,7 @@
     pub(crate) keep_ended: Duration,
     pub(crate) entries_per_snapshot: u64,
     pub(crate) stop_time: Duration,
+    pub(crate) revocation_bound: Option<Duration>,
     pub(crate) session: SessionConfig,
     pub(crate) tuning: Tuning,
 }
@@ -41,6 +42,7 @@
             keep_ended: Duration::from_secs(300),
             entries_per_snapshot: 4_096,
             stop_time: Duration::from_millis(500),
+            revocation_bound: None,
             session: SessionConfig::default(),
             tuning: Tuning::default(),
         })
@@ -96,6 +98,13 @@
         self
     }
 
+    /// Sets how long a key may work at most after the configuration that revokes it was acknowledged;
+    /// `None` for no limit. Default: none.
+    pub fn revocation_bound(mut self, bound: Option<Duration>) -> Self {
+        self.0.revocation_bound = bound;
+        self
+    }
+
     /// Sets leases, intervals and timeouts of the sessions with workers.
     pub fn session(mut self, session: SessionConfig) -> Self {
         self.0.session = session;
--- a/crates/scheduler/src/follower_reads.rs
+++ b/crates/scheduler/src/follower_reads.rs
@@ -61,6 +61,9 @@
         let state = &self.group.as_ref()?.state;
         match call {
             Call::JobPhase { id, queue, key } => {
+                if !self.may_serve(queue, key.as_ref()) {
+                    return None;
+                }
                 let job = visible_job(state, *id, queue, key.as_ref()).ok()??;
                 job.phase.is_over().then_some(Answer::Phase(job.phase))
             }
--- a/crates/scheduler/src/gossip.rs
+++ b/crates/scheduler/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use crate::group::host_list;
 use crate::io::Output;
-use crate::message::{HostHeartbeat, PeerMessage};
+use crate::message::{Confirmation, HostHeartbeat, PeerMessage};
 use crate::node::Node;
 use consensus::{Config, Role, Term};
 use std::time::Duration;
@@ -181,10 +181,13 @@
         match message {
             M::Raft(envelope) => self.on_raft(&from, envelope),
             M::Heartbeat(heartbeat) => self.on_host_heartbeat(&from, heartbeat),
-            M::HeartbeatResponse { leader, members, responsive, leads, version } => {
+            M::HeartbeatResponse { leader, members, responsive, leads, version, confirmation } => {
                 if leads {
                     self.peers.responsive = responsive;
                 }
+                if let Some(confirmation) = confirmation {
+                    self.on_confirmation(*confirmation, version);
+                }
                 self.on_heartbeat_response(&from, leader, members, leads, version)
             }
             M::Configuration(part) => self.on_configuration_part(*part),
@@ -227,6 +230,7 @@
         let mut heartbeat = HostHeartbeat {
             process: self.process,
             version: if self.ask_for_whole_configuration { 0 } else { self.configuration.version },
+            sent_at: now,
             draining: self.draining,
             zone: self.cfg.zone.clone(),
             capacities: Vec::new(),
@@ -294,7 +298,7 @@
     }
 
     fn on_host_heartbeat(&mut self, from: &HostId, heartbeat: HostHeartbeat) {
-        let HostHeartbeat { version, draining, zone, capacities, .. } = heartbeat;
+        let HostHeartbeat { process, sent_at, version, draining, zone, capacities } = heartbeat;
         self.use_capacity_reports(capacities);
         let known = self.peers.by_host.get(from);
         let sending_until = known.filter(|p| p.version == version).and_then(|p| p.sending_until);
@@ -311,6 +315,13 @@
         let members = members.iter().map(|m| m.host.clone()).collect();
         let leads = group.leads();
         let in_force = group.state.configuration().version;
+        let confirmed_at = group.raft.confirmed_at().filter(|_| leads);
+        let confirm = |at| Confirmation {
+            process,
+            asked_at: sent_at,
+            leader_age: self.now.saturating_sub(at),
+        };
+        let confirmation = confirmed_at.map(|at| Box::new(confirm(at)));
         self.send(
             from,
             PeerMessage::HeartbeatResponse {
@@ -319,6 +330,7 @@
                 responsive,
                 leads,
                 version: in_force,
+                confirmation,
             },
         );
         self.offer_configuration(from);
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -8,10 +8,10 @@
 use dispatch::OrderAnswer;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use types::{HostId, MemberId, Refusal, Version, WorkerId, ZoneName};
+use types::{HostId, MemberId, Refusal, Timestamp, Version, WorkerId, ZoneName};
 
 /// Version of the protocol between hosts, exchanged when a connection opens.
-pub const PROTOCOL_VERSION: u32 = 6;
+pub const PROTOCOL_VERSION: u32 = 7;
 
 /// Heartbeat that a host sends to the leader, or to all known members and seeds while it knows no
 /// leader.
@@ -21,6 +21,8 @@
     pub process: MemberId,
     /// Version of the configuration in force on the sender.
     pub version: Version,
+    /// When the sender sent this heartbeat, by its own clock.
+    pub sent_at: Timestamp,
     /// Whether the sender is about to stop.
     pub draining: bool,
     /// Availability zone of the sender.
@@ -29,6 +31,17 @@
     pub capacities: Vec<CapacityReport>,
 }
 
+/// Tells a host since when its leader certainly had no newer configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Process that sent the heartbeat, as in [`HostHeartbeat::process`].
+    pub process: MemberId,
+    /// When it sent the heartbeat, as in [`HostHeartbeat::sent_at`].
+    pub asked_at: Timestamp,
+    /// Time since which the leader can't rule out that it was deposed.
+    pub leader_age: Duration,
+}
+
 /// A message between hosts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -48,6 +61,8 @@
         leads: bool,
         /// Version of the configuration in the sender's replicated state.
         version: Version,
+        /// Confirms that version, if the sender leads.
+        confirmation: Option<Box<Confirmation>>,
     },
     /// A part of what the receiver lacks of the configuration in force.
     Configuration(Box<ConfigurationPart>),
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -4,6 +4,7 @@
 use crate::capacity_reports::CapacityReports;
 use crate::config::{NodeConfig, StartState};
 use crate::config_changes::{ChangeLog, IncomingConfiguration};
+use crate::confirmation::Confirmations;
 use crate::follower_reads::FollowerReads;
 use crate::gossip::PeerTable;
 use crate::group::Group;
@@ -42,6 +43,9 @@
     pub live_voters: usize,
     /// Version of the configuration in force on this host.
     pub version: u64,
+    /// Time since a moment at which the group certainly had no newer configuration; `None` if there
+    /// was none.
+    pub configuration_age: Option<Duration>,
     /// Client calls of this host that wait for an answer.
     pub open_calls: usize,
     /// Jobs in the replicated state that are not finished.
@@ -117,6 +121,7 @@
     pub(crate) incoming_configuration: IncomingConfiguration,
     /// A difference did not lead to the leader's configuration, so all of it is needed.
     pub(crate) ask_for_whole_configuration: bool,
+    pub(crate) confirmations: Confirmations,
     pub(crate) draining: bool,
     /// When the process was told to stop.
     draining_since: Timestamp,
@@ -154,6 +159,7 @@
             config_changes: ChangeLog::default(),
             incoming_configuration: IncomingConfiguration::default(),
             ask_for_whole_configuration: false,
+            confirmations: Confirmations::default(),
             draining: false,
             draining_since: start.now,
             out: Vec::new(),
@@ -350,11 +356,17 @@
         self.leads() || (heard && !self.peers.is_behind(self.configuration.version))
     }
 
+    /// Whether the group is known to have a newer configuration than this host.
+    pub fn is_outdated(&self) -> bool {
+        !self.leads() && self.peers.is_behind(self.configuration.version)
+    }
+
     /// Current counters and gauges.
     pub fn stats(&self) -> NodeStats {
         let mut stats = self.stats.clone();
         stats.leads = self.leads();
         stats.version = self.configuration.version;
+        stats.configuration_age = self.confirmed_at().map(|at| self.now.saturating_sub(at));
         stats.open_calls = self.calls.len();
         if let Some(group) = &self.group {
             stats.term = group.raft.term();
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -1,6 +1,8 @@
 //! Simulation of a cell in virtual time: hosts, disks, an unreliable network, workers, and an
 //! oracle that checks every start. All times are in milliseconds.
 
+#[allow(dead_code)] // Not all tests that share this module use it.
+pub(crate) mod callers;
 mod crashes;
 mod logger;
 pub(crate) mod losses;
@@ -160,6 +162,9 @@
     injected_bug: InjectedBug,
     tuning: Tuning,
     pub(crate) crashes: Crashes,
+    pub(crate) callers: callers::Callers,
+    /// How far the time of day on odd hosts is ahead of the world's.
+    pub(crate) wall_clock_ahead: u64,
 }
 
 fn ms(millis: u64) -> Duration {
@@ -255,6 +260,8 @@
             injected_bug,
             tuning,
             crashes: Crashes::default(),
+            callers: callers::Callers::default(),
+            wall_clock_ahead: 0,
         };
         for i in 0..HOSTS {
             world.start(i, true);
@@ -281,6 +288,7 @@
             .disk(disk)
             .entries_per_snapshot(ENTRIES_PER_SNAPSHOT)
             .tuning(self.tuning.clone())
+            .revocation_bound(self.callers.bound)
             .session(SessionConfig { injected_bug: self.injected_bug, ..SessionConfig::default() })
             .build();
         let host = &mut self.hosts[i];
@@ -454,7 +462,8 @@
             return;
         }
         let Some(node) = &mut host.node else { return };
-        node.set_wall_clock(ms(now));
+        let wall_clock = now + if i % 2 == 1 { self.wall_clock_ahead } else { 0 };
+        node.set_wall_clock(ms(wall_clock));
         let outputs = node.step(ms(now + host.clock_ahead), input);
         self.carry_out(i, outputs);
     }
@@ -506,6 +515,7 @@
 
     fn on_answer(&mut self, id: u64, answer: Result<Answer, types::Refusal>) {
         let Some((asked, call)) = self.calls.remove(&id) else { return };
+        self.check_key(asked, &call, &answer);
         match (call, answer) {
             (Call::Submit { id, .. }, Ok(_)) => self.jobs.get_mut(&id).unwrap().accepted = true,
             // Clients retry a submission with an unknown outcome.
