--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -17,12 +17,14 @@
 //! ```
 
 mod account;
+mod admittance;
 mod key;
 mod quota;
 mod rate;
 mod shares;
 
 pub use account::{Account, AccountBuilder, Accounts};
+pub use admittance::{Admittance, Claim, Freshness};
 pub use key::KeyDigest;
 pub use quota::Usage;
 pub use rate::Rates;
