Count advice calls by reason, time in line and use of tickets

Change: the tracker counts calls by queue and reason (first, more workers, renewal), their time in line, and tickets received and used; logged every 10 s, exported as gauges, printed by heavy_day.

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -1,5 +1,6 @@
 //! Calls to an advice service, which decides which workers may run a step.
 
+use crate::advice_usage::{AdviceUsage, CallReason};
 use jobs::{AdvicePolicy, LifeId, QueueId, StepRef};
 use std::time::Duration;
 use types::{HostId, SortedMap, Timestamp};
@@ -39,6 +40,8 @@
     pub text: String,
     /// When the ticket was issued, estimated from the timing of the call.
     pub issued: Timestamp,
+    /// Whether a start was ordered with it.
+    pub used: bool,
 }
 
 /// What the advice service has answered about one step.
@@ -128,6 +131,7 @@
     shares: SortedMap<QueueId, (f64, f64)>,
     last_number: u64,
     short_load: ShortLoad,
+    usage: SortedMap<QueueId, AdviceUsage>,
 }
 
 /// Exponentially decaying average of the number of callers that short calls keep busy.
@@ -217,9 +221,13 @@
         }
         let mut lives = lives;
         lives.truncate(MAX_WORKERS_PER_CALL);
+        let reason = call_reason(known, &lives);
         let duration = policy.duration(lives.len());
         let caller = self.choose_caller(duration, now)?;
         let entry = self.callers.get_mut(&caller).expect("just chosen");
+        let in_line = entry.busy_until.saturating_sub(now);
+        let usage = self.usage.get_or_insert_with(queue, AdviceUsage::default);
+        usage.record_call(reason, lives.len(), duration, in_line);
         entry.busy_until = entry.busy_until.max(now) + duration;
         let timeout = entry.busy_until.saturating_sub(now) + CALL_SLACK;
         if duration <= SHORT_CALL {
@@ -263,9 +271,14 @@
     ) -> Option<StepRef> {
         let OpenCall { queue, call, sent, duration } = self.open.remove(&number)?;
         let caller = self.callers.get_mut(&call.caller);
-        let step = self.steps.get_mut(&call.step)?;
+        let usage = self.usage.get_or_insert_with(queue, AdviceUsage::default);
+        let Some(step) = self.steps.get_mut(&call.step) else {
+            usage.too_late += 1;
+            return None;
+        };
         step.pending = false;
         let Some(eligible) = eligible else {
+            usage.failed += 1;
             step.retry_at = now + Duration::from_millis(100);
             if let Some(caller) = caller {
                 caller.backoff_until = now + CALLER_BACKOFF;
@@ -273,6 +286,7 @@
             return Some(call.step);
         };
         let (asked, found) = self.shares.get_or_insert_with(queue, || (0.0, 0.0));
+        usage.tickets += eligible.len() as u64;
         *asked += call.lives.len() as f64;
         *found += eligible.len() as f64;
         // The service issues tickets when a call ends. The estimate allows up to 20 ms for the
@@ -289,11 +303,28 @@
             life,
             text,
             issued,
+            used: false,
         }));
         step.eligible.sort_unstable_by_key(|ticket| ticket.life);
         Some(call.step)
     }
 
+    /// Use of the service so far, by queue.
+    pub fn usage(&self) -> impl Iterator<Item = (QueueId, &AdviceUsage)> + '_ {
+        self.usage.iter().map(|(queue, usage)| (*queue, usage))
+    }
+
+    /// The ticket to order a start with; `None` if the life may not run the step.
+    pub fn use_ticket(&mut self, step: StepRef, queue: QueueId, life: LifeId) -> Option<&str> {
+        let known = self.steps.get_mut(&step)?;
+        let usage = self.usage.get_or_insert_with(queue, AdviceUsage::default);
+        let i = known.eligible.binary_search_by_key(&life, |ticket| ticket.life).ok()?;
+        let ticket = &mut known.eligible[i];
+        usage.used += u64::from(!ticket.used);
+        ticket.used = true;
+        Some(&ticket.text)
+    }
+
     /// Discards a refused ticket, so that it is requested again.
     pub fn forget_ticket(&mut self, step: StepRef, life: LifeId) {
         if let Some(step) = self.steps.get_mut(&step) {
@@ -317,3 +348,12 @@
         self.open.values().map(|open| open.sent + open.call.timeout).min()
     }
 }
+
+/// Why a call names these lives, given what is known about the step.
+fn call_reason(known: Option<&StepAdvice>, lives: &[LifeId]) -> CallReason {
+    match known {
+        Some(known) if lives.iter().all(|life| known.was_asked(*life)) => CallReason::Renewal,
+        Some(known) if known.any_asked() => CallReason::MoreWorkers,
+        _ => CallReason::First,
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,10 +18,12 @@
 //! ```
 
 mod advice;
+mod advice_usage;
 mod order;
 mod session;
 
 pub use advice::{AdviceCall, AdviceTracker, StepAdvice, Ticket, MAX_WORKERS_PER_CALL};
+pub use advice_usage::{AdviceUsage, CallReason, CallUsage};
 pub use order::{ListedRun, Order, OrderAnswer, OrderId, RefusalReason, RunListing};
 pub use session::{
     InjectedBug, RunEvidence, RunStatus, RunTraits, Session, SessionConfig, SessionEvent,
--- a/crates/emulator/examples/heavy_day.rs
+++ b/crates/emulator/examples/heavy_day.rs
@@ -3,17 +3,17 @@
 //! `cargo run --release -p emulator --example heavy_day -- --sheet leads --seeds 3`
 
 use clap::{Arg, ArgAction, Command};
+use dispatch::{AdviceUsage, CallReason};
 use emulator::{simulate, Disturbances, Scenario};
 use std::time::{Duration, Instant};
 
 fn args() -> Command {
     Command::new("heavy_day")
-        .arg(
-            Arg::new("sheet")
-                .long("sheet")
-                .default_value("leads")
-                .value_parser(["leads", "certificates"]),
-        )
+        .arg(Arg::new("sheet").long("sheet").default_value("leads").value_parser([
+            "leads",
+            "certificates",
+            "tiles",
+        ]))
         .arg(
             Arg::new("seeds")
                 .long("seeds")
@@ -21,6 +21,7 @@
                 .value_parser(clap::value_parser!(u64)),
         )
         .arg(Arg::new("leader-loss").long("leader-loss").action(ArgAction::SetTrue))
+        .arg(Arg::new("flood").long("flood").action(ArgAction::SetTrue))
         .arg(Arg::new("zone-cut").long("zone-cut").action(ArgAction::SetTrue))
         .arg(
             Arg::new("shrink")
@@ -28,12 +29,7 @@
                 .default_value("1")
                 .value_parser(clap::value_parser!(f64)),
         )
-        .arg(
-            Arg::new("seconds")
-                .long("seconds")
-                .default_value("34")
-                .value_parser(clap::value_parser!(u64)),
-        )
+        .arg(Arg::new("seconds").long("seconds").value_parser(clap::value_parser!(u64)))
         .arg(
             Arg::new("event-us")
                 .long("event-us")
@@ -47,14 +43,19 @@
     let value = |name: &str| *args.get_one::<u64>(name).expect("every argument has a default");
     let mut scenario = match args.get_one::<String>("sheet").map(String::as_str) {
         Some("certificates") => Scenario::certificate_cluster(),
+        Some("tiles") => Scenario::tile_plant(),
         _ => Scenario::lead_desk(),
     };
     scenario =
         scenario.scaled_down(*args.get_one::<f64>("shrink").expect("every argument has a default"));
     scenario.event_cost = Duration::from_micros(value("event-us"));
-    scenario.arrival_period = Duration::from_secs(value("seconds"));
+    if let Some(seconds) = args.get_one::<u64>("seconds") {
+        scenario.arrival_period = Duration::from_secs(*seconds);
+    }
     let disturbances = if args.get_flag("zone-cut") {
         Disturbances::with_zone_partition()
+    } else if args.get_flag("flood") {
+        Disturbances::with_flood()
     } else if args.get_flag("leader-loss") {
         Disturbances::with_leader_loss()
     } else {
@@ -86,5 +87,32 @@
             summary.runs, summary.stopped, summary.wasted_core_seconds, summary.advice_calls, summary.advice_time.as_secs_f64(),
             summary.stale_tickets, summary.over_capacity, summary.gang_timeouts, summary.utilization, started.elapsed().as_secs_f64()
         );
+        for (name, usage) in &summary.advice_usage {
+            print_advice(seed, name, usage);
+        }
     }
 }
+
+fn print_advice(seed: u64, name: &str, usage: &AdviceUsage) {
+    let calls: Vec<String> = CallReason::ALL
+        .iter()
+        .zip(usage.calls)
+        .map(|(reason, c)| {
+            let in_line = c.in_line.as_millis() as u64 / c.calls.max(1);
+            let (time, workers) = (c.time.as_secs(), c.workers / c.calls.max(1));
+            format!(
+                "{} {} calls {time} s, {workers} workers, {in_line} ms in line",
+                reason.name(),
+                c.calls
+            )
+        })
+        .collect();
+    println!(
+        "# seed {seed}: advice {name}: {}; failed {}, too late {}, tickets {}, used {}",
+        calls.join("; "),
+        usage.failed,
+        usage.too_late,
+        usage.tickets,
+        usage.used
+    );
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod advice;
+mod crowded;
 mod heartbeats;
 mod leader_loss;
 mod load;
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -104,7 +104,7 @@
 /// Service of all queues and workers.
 const SERVICE: &str = "crunch";
 
-fn policy(
+pub(crate) fn policy(
     (name, priority): (&str, u32),
     (stretch, slack_ms): (f64, u64),
     (call_us, worker_us): (u64, u64),
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -359,6 +359,7 @@
             worth: totals.worth,
             advice_time: self.advice.total_time,
             advice_calls: self.advice.calls,
+            advice_usage: self.node.advice_usage(),
             utilization: self.summary.utilization / total,
             ..self.summary
         }
--- a/crates/emulator/src/summary.rs
+++ b/crates/emulator/src/summary.rs
@@ -2,6 +2,7 @@
 
 use crate::load::{Arrival, WARMUP};
 use crate::scenario::Scenario;
+use dispatch::AdviceUsage;
 use std::time::Duration;
 
 /// A late job still has value up to this multiple of its objective; after that it is worth
@@ -50,6 +51,8 @@
     pub advice_time: Duration,
     /// Number of calls to the advice service.
     pub advice_calls: u32,
+    /// What the leader called the advice service for, by name of the queue.
+    pub advice_usage: Vec<(String, AdviceUsage)>,
     /// Number of starts that were refused because their ticket was missing or had expired.
     pub stale_tickets: u32,
     /// Number of starts that exceeded the capacity of the worker.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::{Registry, Unit};
-use scheduler::NodeStats;
+use scheduler::{CallReason, NodeStats};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -128,6 +128,19 @@
         ] {
             set(&self.counts, kind, value);
         }
+        for (reason, usage) in CallReason::ALL.iter().zip(stats.advice.calls) {
+            set(&self.gauges, &format!("advice_calls_{}", reason.name()), usage.calls);
+        }
+        let total = stats.advice.total();
+        for (kind, value) in [
+            ("advice_service_ms", total.time.as_millis() as u64),
+            ("advice_in_line_ms", total.in_line.as_millis() as u64),
+            ("advice_tickets", stats.advice.tickets),
+            ("advice_tickets_used", stats.advice.used),
+            ("advice_calls_failed", stats.advice.failed),
+        ] {
+            set(&self.gauges, kind, value);
+        }
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("writing to a string does not fail");
         text
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -40,6 +40,7 @@
         self.release_resolved_starts();
         self.send_orders();
         self.plan_if_due();
+        self.report_advice();
     }
 
     /// Expires orders, opens due occurrences of scheduled jobs, removes workers that are gone, and
@@ -338,7 +339,7 @@
 /// Adds to an order what is needed to send it. `None` if the life or its job is gone.
 fn order_envelope(
     state: &jobs::State,
-    leader: &crate::leader::Leader,
+    leader: &mut crate::leader::Leader,
     life: LifeId,
     order: Order,
 ) -> Option<OrderEnvelope> {
@@ -353,8 +354,7 @@
             spec = job.request.as_ref().map(|request| request.spec.clone());
             let found = job.step(task.step)?.tasks.get(task.index as usize)?;
             saved = found.saved.clone();
-            let advice = leader.advice.step(task.step);
-            ticket = advice.and_then(|advice| advice.ticket(life)).map(str::to_string);
+            ticket = leader.advice.use_ticket(task.step, job.queue, life).map(str::to_string);
         }
     }
     Some(OrderEnvelope {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -25,6 +25,7 @@
 //! ```
 
 mod advice;
+mod advice_report;
 mod call;
 mod calls;
 mod capacity_reports;
@@ -53,6 +54,7 @@
 pub use capacity_reports::CapacityReport;
 pub use config::{NodeConfig, NodeConfigBuilder, StartState};
 pub use config_changes::{ConfigurationEnd, ConfigurationPart};
+pub use dispatch::{AdviceUsage, CallReason};
 pub use io::{Input, OrderEnvelope, Output};
 pub use message::{HostHeartbeat, PeerMessage, PROTOCOL_VERSION};
 pub use node::{Node, NodeStats};
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -62,6 +62,8 @@
     pub ends: [u64; 6],
     /// Calls to the advice service that this process started as the leader.
     pub advice_calls: u64,
+    /// Use of the advice service in the current term; only on the leader.
+    pub advice: dispatch::AdviceUsage,
     /// Jobs accepted while this process was the leader.
     pub accepted: u64,
     /// Runs given up because their workers never reported an end.
@@ -367,6 +369,7 @@
             if let Some(leader) = &group.leader {
                 stats.ready_steps = leader.ready.len();
                 stats.usable_workers = leader.usable_workers(self.now);
+                stats.advice = leader.advice_usage();
                 stats.unreported_workers = leader.unreported_workers(self.now);
             }
         }
