Advice calls: needed ones wait, spare ones don't; renewals cover the tasks behind

Cause: where workers are full, tasks trickle in one by one and each bought a ticket of its own: on a flood of the tile plant 6,456 of 12,618 calls named one worker each (688 of 1,704 s), waiting 290 ms in line beside calls that only widened the choice or belonged to worthless steps. Change: calls for more workers, and of steps that can't have value any more, are made by idle hosts only. Where calls queue up, a renewal covers further aged tickets, and a first call counts what runs that end soon will leave. Idle lines are used as before.

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -51,7 +51,8 @@
     eligible: Vec<Ticket>,
     /// Lives that were asked about, sorted.
     asked: Vec<LifeId>,
-    pending: bool,
+    /// Why the call in flight is made; `None` without one.
+    pending: Option<CallReason>,
     retry_at: Timestamp,
 }
 
@@ -67,7 +68,12 @@
 
     /// Whether a call about the step is in flight.
     pub fn is_pending(&self) -> bool {
-        self.pending
+        self.pending.is_some()
+    }
+
+    /// Whether a call for new tickets is in flight.
+    pub fn is_renewing(&self) -> bool {
+        self.pending == Some(CallReason::Renewal)
     }
 
     /// Whether this life was asked about.
@@ -92,6 +98,16 @@
     }
 }
 
+/// How certain it is that the answer to a call will be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallPriority {
+    /// The step needs the answer to start. The call may wait behind others of its caller.
+    Needed,
+    /// The answer only widens the choice, or the step is worth little. The call is made only by a
+    /// host without other calls, so that it delays none that is needed.
+    Spare,
+}
+
 /// A call to the advice service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdviceCall {
@@ -186,15 +202,18 @@
     }
 
     /// Whether a host could take a call now, possibly behind calls that it already has.
-    pub fn has_caller(&self, policy: &AdvicePolicy, now: Timestamp) -> bool {
-        self.choose_caller(policy.duration(1), now).is_some()
+    pub fn has_caller(
+        &self,
+        policy: &AdvicePolicy,
+        priority: CallPriority,
+        now: Timestamp,
+    ) -> bool {
+        self.choose_caller(policy.duration(1), priority, now).is_some()
     }
 
     /// Whether an idle host could make a call at once, so that a large call delays no other.
     pub fn has_idle_caller(&self, policy: &AdvicePolicy, now: Timestamp) -> bool {
-        let duration = policy.duration(1);
-        let caller = self.choose_caller(duration, now);
-        caller.is_some_and(|host| self.callers.get(&host).is_some_and(|c| c.busy_until <= now))
+        self.has_caller(policy, CallPriority::Spare, now)
     }
 
     /// Sets the hosts that can make calls.
@@ -213,17 +232,18 @@
         queue: QueueId,
         lives: Vec<LifeId>,
         policy: &AdvicePolicy,
+        priority: CallPriority,
         now: Timestamp,
     ) -> Option<AdviceCall> {
         let known = self.steps.get(&step);
-        if lives.is_empty() || known.is_some_and(|k| k.pending || now < k.retry_at) {
+        if lives.is_empty() || known.is_some_and(|k| k.is_pending() || now < k.retry_at) {
             return None;
         }
         let mut lives = lives;
         lives.truncate(MAX_WORKERS_PER_CALL);
         let reason = call_reason(known, &lives);
         let duration = policy.duration(lives.len());
-        let caller = self.choose_caller(duration, now)?;
+        let caller = self.choose_caller(duration, priority, now)?;
         let entry = self.callers.get_mut(&caller).expect("just chosen");
         let in_line = entry.busy_until.saturating_sub(now);
         let usage = self.usage.get_or_insert_with(queue, AdviceUsage::default);
@@ -237,13 +257,18 @@
         let call = AdviceCall { number: self.last_number, caller, step, lives, timeout };
         self.open
             .insert(self.last_number, OpenCall { queue, call: call.clone(), sent: now, duration });
-        self.steps.get_or_insert_with(step, StepAdvice::default).pending = true;
+        self.steps.get_or_insert_with(step, StepAdvice::default).pending = Some(reason);
         Some(call)
     }
 
     /// The caller that becomes free first. Short calls have callers reserved for them, so that they
     /// never wait for long ones.
-    fn choose_caller(&self, duration: Duration, now: Timestamp) -> Option<HostId> {
+    fn choose_caller(
+        &self,
+        duration: Duration,
+        priority: CallPriority,
+        now: Timestamp,
+    ) -> Option<HostId> {
         let min_lane = self.callers.len().div_ceil(SHORT_LANE_DIVISOR);
         let short_lane = (self.short_load.callers(now) * SHORT_LANE_FACTOR).ceil() as usize;
         let short_lane = short_lane.clamp(min_lane, (self.callers.len() / 2).max(1));
@@ -253,7 +278,11 @@
             .iter()
             .enumerate()
             .filter(|(i, _)| single_caller || (duration <= SHORT_CALL) == (*i < short_lane));
-        let backlog = if duration <= SHORT_CALL { MAX_SHORT_BACKLOG } else { MAX_LONG_BACKLOG };
+        let backlog = match priority {
+            CallPriority::Spare => Duration::ZERO,
+            CallPriority::Needed if duration <= SHORT_CALL => MAX_SHORT_BACKLOG,
+            CallPriority::Needed => MAX_LONG_BACKLOG,
+        };
         let free = lane.filter(|(_, (_, caller))| {
             now >= caller.backoff_until && caller.busy_until <= now + backlog
         });
@@ -276,7 +305,7 @@
             usage.too_late += 1;
             return None;
         };
-        step.pending = false;
+        step.pending = None;
         let Some(eligible) = eligible else {
             usage.failed += 1;
             step.retry_at = now + Duration::from_millis(100);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,7 +22,9 @@
 mod order;
 mod session;
 
-pub use advice::{AdviceCall, AdviceTracker, StepAdvice, Ticket, MAX_WORKERS_PER_CALL};
+pub use advice::{
+    AdviceCall, AdviceTracker, CallPriority, StepAdvice, Ticket, MAX_WORKERS_PER_CALL,
+};
 pub use advice_usage::{AdviceUsage, CallReason, CallUsage};
 pub use order::{ListedRun, Order, OrderAnswer, OrderId, RefusalReason, RunListing};
 pub use session::{
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -5,9 +5,9 @@
 //! is never asked about the same worker twice, except to renew its ticket.
 
 use crate::leader::Leader;
-use dispatch::{AdviceCall, MAX_WORKERS_PER_CALL};
-use jobs::{LifeId, ResourceVector, State, StepRef};
-use placement::steps::WorkerCapacity;
+use dispatch::{AdviceCall, CallPriority, MAX_WORKERS_PER_CALL};
+use jobs::{AdvicePolicy, LifeId, ResourceVector, State, StepRef};
+use placement::steps::{Urgency, WorkerCapacity};
 use std::cmp::Reverse;
 use std::time::Duration;
 use types::Timestamp;
@@ -28,6 +28,15 @@
 const GANG_OVERSUBSCRIPTION: f64 = 4.0;
 /// Minimum number of workers in a call for a gang.
 const MIN_GANG_WORKERS: usize = 8;
+/// Share of a worker's capacity that tasks get while its runs end, where calls queue up.
+const TURNOVER_SHARE: f64 = 0.3;
+/// Where calls queue up, a call for new tickets names further workers up to this share of the time
+/// that it takes at least.
+const EXTRA_RENEWAL_SHARE: f64 = 0.25;
+/// Tickets renewed together, as a multiple of the waiting tasks.
+const RENEWALS_PER_TASK: usize = 2;
+/// A late job still has value up to this multiple of its objective.
+const WORTHLESS_AFTER_OBJECTIVES: u32 = 3;
 
 impl Leader {
     /// Begins a call about workers that can hold a task of the step and were not asked about yet:
@@ -40,15 +49,82 @@
         now: Timestamp,
     ) -> Option<AdviceCall> {
         let advice = state.policy(state.job(step.job)?.queue).advice?;
-        let pending = self.advice.step(step).is_some_and(|known| known.is_pending());
-        if pending || !self.advice.has_caller(&advice, now) {
+        let known = self.advice.step(step);
+        let pending = known.is_some_and(|known| known.is_pending());
+        let more = known.is_some_and(|known| known.any_asked());
+        let priority = if more { CallPriority::Spare } else { self.call_priority(step, now) };
+        if pending || !self.advice.has_caller(&advice, priority, now) {
             return None;
         }
         let wanted = self.wanted_slots(state, step, workers, now)?;
         let unknown = self.unasked_workers(state, step, workers)?;
         let count = workers_for_slots(&unknown, &wanted);
         let lives = unknown.iter().take(count).map(|worker| worker.life).collect();
-        self.begin_advice_call(state, step, lives, now)
+        self.begin_advice_call(state, step, lives, priority, now)
+    }
+
+    /// Begins a call for new tickets of the chosen workers. Where calls queue up, it covers further
+    /// workers that may run the step, so that the tasks behind don't need a call each.
+    pub(crate) fn next_renewal(
+        &mut self,
+        state: &State,
+        step: StepRef,
+        chosen: Vec<LifeId>,
+        workers: &[WorkerCapacity<'_>],
+        now: Timestamp,
+    ) -> Option<AdviceCall> {
+        let advice = state.policy(state.job(step.job)?.queue).advice?;
+        let spec = state.spec(step)?;
+        let mut lives = chosen;
+        if !spec.gang && !self.advice.has_idle_caller(&advice, now) {
+            let tasks = state.job(step.job)?.step(step)?.waiting().count() * RENEWALS_PER_TASK;
+            let count = tasks.saturating_sub(lives.len()).min(extra_renewals(&advice));
+            lives.extend(self.further_renewals(
+                step,
+                &spec.charge(),
+                &lives,
+                count,
+                workers,
+                &advice,
+                now,
+            ));
+        }
+        let priority = self.call_priority(step, now);
+        self.begin_advice_call(state, step, lives, priority, now)
+    }
+
+    /// Workers that may run the step and whose tickets have aged, those with the most free capacity
+    /// first.
+    fn further_renewals(
+        &self,
+        step: StepRef,
+        need: &ResourceVector,
+        chosen: &[LifeId],
+        count: usize,
+        workers: &[WorkerCapacity<'_>],
+        advice: &AdvicePolicy,
+        now: Timestamp,
+    ) -> Vec<LifeId> {
+        let Some(known) = self.advice.step(step) else { return Vec::new() };
+        let aged = known
+            .eligible(advice.ticket_life)
+            .filter(|(life, until)| *until <= now + advice.per_call && !chosen.contains(life));
+        let by_free_capacity = aged.filter_map(|(life, _)| {
+            let i = workers.binary_search_by_key(&life, |worker| worker.life).ok()?;
+            let free = &workers[i].free;
+            Some(Reverse((need.count_in(free), free.cpu, life)))
+        });
+        let mut found: Vec<_> = by_free_capacity.collect();
+        found.sort_unstable();
+        found.into_iter().take(count).map(|Reverse((.., life))| life).collect()
+    }
+
+    /// Priority of a call that a step needs to start.
+    fn call_priority(&self, step: StepRef, now: Timestamp) -> CallPriority {
+        match self.ready.get(&step) {
+            Some(urgency) if is_worthless(urgency, now) => CallPriority::Spare,
+            _ => CallPriority::Needed,
+        }
     }
 
     /// Workers that can hold a task of the step and were not asked about yet, those with the most
@@ -103,7 +179,11 @@
             let (factor, min_workers) = if quiet { WIDE_SEARCH } else { NARROW_SEARCH };
             let max_per_worker = spec.max_per_worker.max(1) * 8;
             let slots = waiting * factor / eligible_share;
-            let share = SlotShare::Free { max_per_worker };
+            let share = if quiet {
+                SlotShare::Free { max_per_worker }
+            } else {
+                SlotShare::Turnover { max_per_worker }
+            };
             return Some(WantedSlots { need, slots, min_workers, share });
         }
         let share = SlotShare::Gang;
@@ -121,11 +201,12 @@
         state: &State,
         step: StepRef,
         lives: Vec<LifeId>,
+        priority: CallPriority,
         now: Timestamp,
     ) -> Option<AdviceCall> {
         let queue = state.job(step.job)?.queue;
         let policy = state.policy(queue).advice?;
-        self.advice.ask(step, queue, lives, &policy, now)
+        self.advice.ask(step, queue, lives, &policy, priority, now)
     }
 }
 
@@ -142,6 +223,8 @@
 enum SlotShare {
     /// What is free, for at most this many tasks.
     Free { max_per_worker: u32 },
+    /// What runs that end soon leave, or what is free if that is more, for at most this many tasks.
+    Turnover { max_per_worker: u32 },
     /// What a gang can get by pausing other runs, or what is free if that is more.
     Gang,
 }
@@ -152,6 +235,10 @@
         let free = need.count_in(&worker.free);
         match self {
             SlotShare::Free { max_per_worker } => f64::from(free.min(*max_per_worker)),
+            SlotShare::Turnover { max_per_worker } => {
+                let all = f64::from(need.count_in(&worker.info.capacity));
+                (all * TURNOVER_SHARE).max(f64::from(free)).min(f64::from(*max_per_worker))
+            }
             SlotShare::Gang => {
                 let all = f64::from(need.count_in(&worker.info.capacity));
                 (all * GANG_CAPACITY_SHARE).max(f64::from(free))
@@ -170,3 +257,15 @@
     });
     enough.map_or(workers.len(), |i| i + 1).max(wanted.min_workers)
 }
+
+/// How many workers a call for new tickets may name besides those that are chosen.
+fn extra_renewals(advice: &AdvicePolicy) -> usize {
+    let time = advice.per_call.mul_f64(EXTRA_RENEWAL_SHARE).as_micros();
+    let extra = time / advice.per_worker.as_micros().max(1);
+    usize::try_from(extra).unwrap_or(usize::MAX).min(MAX_WORKERS_PER_CALL)
+}
+
+/// Whether the job would no longer have any value if it started now.
+fn is_worthless(urgency: &Urgency, now: Timestamp) -> bool {
+    now + urgency.left > urgency.submitted + urgency.objective * WORTHLESS_AFTER_OBJECTIVES
+}
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -122,7 +122,7 @@
         self.update_claims(&decided, now);
         for (step, lives) in decided.renew {
             self.schedule_retry(step, now + ADVICE_RETRY_INTERVAL);
-            calls.extend(self.begin_advice_call(state, step, lives, now));
+            calls.extend(self.next_renewal(state, step, lives, &workers, now));
         }
         for step in &decided.unplaced {
             let gang = state.spec(*step).is_some_and(|spec| spec.gang);
@@ -284,8 +284,8 @@
             None => EligibleWorkers::Any,
             Some(advice) => {
                 let known = self.advice.step(step).filter(|known| known.any_asked())?;
-                let enough = MIN_ASKED_BEFORE_PAUSING.min(self.usable_workers(now));
-                asked_enough = known.asked() >= enough;
+                asked_enough = known.asked() >= MIN_ASKED_BEFORE_PAUSING
+                    || known.asked() >= self.usable_workers(now);
                 renewal =
                     advice.duration(progress.tasks.len().min(MAX_RENEWED_TICKETS)) + RENEWAL_MARGIN;
                 EligibleWorkers::Only(known.eligible(advice.ticket_life).collect())
