--- a/crates/dispatch/tests/advice.rs
+++ b/crates/dispatch/tests/advice.rs
@@ -1,6 +1,6 @@
 //! Calls to an advice service that is the scarce resource.
 
-use dispatch::{AdviceTracker, CallReason};
+use dispatch::{AdviceTracker, CallPriority, CallReason};
 use jobs::{AdvicePolicy, StepRef};
 use std::time::Duration;
 
@@ -29,12 +29,18 @@
 #[test]
 fn calls_are_counted_by_reason_and_tickets_by_use() {
     let mut tracker = tracker(3);
-    let first = tracker.ask(step(1), QUEUE, vec![1, 2], &POLICY, ms(0)).expect("a host is idle");
+    let first = tracker
+        .ask(step(1), QUEUE, vec![1, 2], &POLICY, CallPriority::Needed, ms(0))
+        .expect("a host is idle");
     let tickets = vec![(1, "a".to_string()), (2, "b".to_string())];
     tracker.answered(first.number, Some(tickets), ms(104));
-    let more = tracker.ask(step(1), QUEUE, vec![3], &POLICY, ms(110)).expect("a host is idle");
+    let more = tracker
+        .ask(step(1), QUEUE, vec![3], &POLICY, CallPriority::Needed, ms(110))
+        .expect("a host is idle");
     tracker.answered(more.number, Some(Vec::new()), ms(212));
-    tracker.ask(step(1), QUEUE, vec![1], &POLICY, ms(2_000)).expect("a host is idle");
+    tracker
+        .ask(step(1), QUEUE, vec![1], &POLICY, CallPriority::Needed, ms(2_000))
+        .expect("a host is idle");
     assert_eq!(tracker.use_ticket(step(1), QUEUE, 2), Some("b"));
     assert_eq!(tracker.use_ticket(step(1), QUEUE, 2), Some("b"));
     assert_eq!(tracker.use_ticket(step(1), QUEUE, 3), None);
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -79,15 +79,9 @@
         if !spec.gang && !self.advice.has_idle_caller(&advice, now) {
             let tasks = state.job(step.job)?.step(step)?.waiting().count() * RENEWALS_PER_TASK;
             let count = tasks.saturating_sub(lives.len()).min(extra_renewals(&advice));
-            lives.extend(self.further_renewals(
-                step,
-                &spec.charge(),
-                &lives,
-                count,
-                workers,
-                &advice,
-                now,
-            ));
+            let need = spec.charge();
+            let further = self.further_renewals(step, &need, &lives, workers, &advice, now);
+            lives.extend(further.into_iter().take(count));
         }
         let priority = self.call_priority(step, now);
         self.begin_advice_call(state, step, lives, priority, now)
@@ -100,7 +94,6 @@
         step: StepRef,
         need: &ResourceVector,
         chosen: &[LifeId],
-        count: usize,
         workers: &[WorkerCapacity<'_>],
         advice: &AdvicePolicy,
         now: Timestamp,
@@ -116,7 +109,7 @@
         });
         let mut found: Vec<_> = by_free_capacity.collect();
         found.sort_unstable();
-        found.into_iter().take(count).map(|Reverse((.., life))| life).collect()
+        found.into_iter().map(|Reverse((.., life))| life).collect()
     }
 
     /// Priority of a call that a step needs to start.
