Placement under the quotas of accounts

Cause: the ledger refuses what passes a quota, but passes planned it anew each time, and the steps of a full account took the places of others in a pass. Change: a pass takes what it places from a copy of the room of each account. Wide steps go in waves; a gang without room waits without a claim and holds no capacity, and keeps the room of its own account only while it is tight. Claims count against the room and are given up if a quota falls below them. Steps without any room take no part in a pass, ask for no advice and are logged once. Existing tests of placement get the new field and argument; no check changed.

--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -7,17 +7,19 @@
 mod choose;
 mod claims;
 mod isolation;
+mod quotas;
 mod reclaim;
 mod urgency;
 
 pub use claims::Claim;
 pub use isolation::Isolation;
+pub use quotas::Rooms;
 pub use urgency::{rank, Urgency};
 
 use choose::{candidates, place_each, place_gang, Candidate};
 use jobs::{LifeId, Placement, ResourceVector, RunNumber, StepRef, TaskRef, WorkerInfo};
 use std::time::Duration;
-use types::{ServiceName, SortedMap, Timestamp};
+use types::{AccountName, ServiceName, SortedMap, Timestamp};
 
 /// A worker and its available capacity during a pass.
 #[derive(Clone, Copy, Debug)]
@@ -75,6 +77,8 @@
 pub struct Demand {
     /// Identifies the step.
     pub step: StepRef,
+    /// Account whose quota counts; `None` if there is none.
+    pub account: Option<AccountName>,
     /// Indexes of the waiting tasks.
     pub tasks: Vec<u32>,
     /// Resources that each task needs.
@@ -119,6 +123,8 @@
     /// Steps for which the free capacity was not sufficient, or which have to start apart from
     /// others.
     pub unplaced: Vec<StepRef>,
+    /// Steps with tasks that wait for room under the quota of their account.
+    pub beyond_quota: Vec<StepRef>,
     /// Runs to pause, to make room for a tight step or for a claim.
     pub pauses: Vec<(LifeId, TaskRef, RunNumber)>,
     /// New claims of gangs that can't start yet.
@@ -132,6 +138,8 @@
 /// State of a pass: its input and the decisions so far.
 struct Pass<'p, 'a, F> {
     workers: &'p mut [WorkerCapacity<'a>],
+    /// What each account may still start.
+    rooms: Rooms,
     now: Timestamp,
     reclaimable: F,
     /// Results of `reclaimable` so far, by life.
@@ -143,12 +151,14 @@
 
 /// Places the steps that fit: first the gangs that hold a claim, then all others in the given
 /// order. `workers` must be sorted by life; their capacity is reduced by what is placed or held.
+/// `rooms` is what accounts may still start, with what their claims hold.
 /// `reclaimable` returns the capacity of a worker that could be freed. It is called at most once
 /// for a worker, and only if a step does not fit.
 pub fn plan<F>(
     workers: &mut [WorkerCapacity<'_>],
     claimed: &[(Claim, Demand)],
     demands: &[Demand],
+    rooms: Rooms,
     now: Timestamp,
     reclaimable: F,
 ) -> StepPlan
@@ -157,15 +167,16 @@
 {
     let reclaimable_cache = SortedMap::default();
     let plan = StepPlan::default();
-    let mut pass = Pass { workers, now, reclaimable, reclaimable_cache, plan, reserved: 0 };
-    for (claim, demand) in claimed {
+    let mut pass = Pass { workers, rooms, now, reclaimable, reclaimable_cache, plan, reserved: 0 };
+    for (claim, demand) in pass.claims_within_room(claimed) {
         pass.advance_claim(claim, demand);
     }
     for demand in demands {
+        let Some(demand) = pass.within_room(demand) else { continue };
         if demand.gang {
-            pass.place_or_claim_gang(demand);
+            pass.place_or_claim_gang(&demand);
         } else {
-            pass.place_tasks(demand);
+            pass.place_tasks(&demand);
         }
     }
     pass.plan
@@ -181,8 +192,10 @@
         let missing = demand.tasks.len() - chosen.len();
         if missing > 0 {
             self.plan.unplaced.push(demand.step);
-            self.pause_for_tasks(demand, missing);
+            let reclaimed = self.pause_for_tasks(demand, missing);
+            self.take_room(demand, reclaimed);
         }
+        self.take_room(demand, chosen.len());
         if missing > 0 && demand.suspect {
             self.reserve_for_suspects(demand, missing);
         }
@@ -198,6 +211,11 @@
             Some(chosen) => self.claim_chosen(demand, &chosen),
             None => self.claim_future_capacity(demand),
         }
+        let steps_without_capacity = [&self.plan.unplaced, &self.plan.waiting];
+        let [unplaced, waiting] = steps_without_capacity.map(|s| s.last() == Some(&demand.step));
+        if !unplaced || waiting {
+            self.take_room(demand, demand.tasks.len());
+        }
     }
 }
 
--- a/crates/placement/src/steps/reclaim.rs
+++ b/crates/placement/src/steps/reclaim.rs
@@ -9,14 +9,15 @@
 {
     /// Pauses runs of lower priority for `count` tasks of a tight step. Only runs that can resume
     /// without loss are paused. Capacity of runs that are being stopped already is used first.
-    pub(super) fn pause_for_tasks(&mut self, demand: &Demand, count: usize) {
+    /// Returns the number of tasks for which there will be capacity.
+    pub(super) fn pause_for_tasks(&mut self, demand: &Demand, count: usize) -> usize {
         if !demand.tight || !demand.can_wait_for_stop {
-            return;
+            return 0;
         }
         let mut missing = count;
         for worker in self.workers.iter_mut() {
             if missing == 0 {
-                return;
+                break;
             }
             if !may_run(demand, worker) {
                 continue;
@@ -28,6 +29,7 @@
                 missing -= 1;
             }
         }
+        count - missing
     }
 }
 
--- a/crates/placement/tests/gangs.rs
+++ b/crates/placement/tests/gangs.rs
@@ -2,7 +2,8 @@
 
 use jobs::{LifeId, ResourceVector, StepRef, TaskRef, WorkerInfo};
 use placement::steps::{
-    plan, Claim, Demand, EligibleWorkers, Isolation, PausableRun, Reclaimable, WorkerCapacity,
+    plan, Claim, Demand, EligibleWorkers, Isolation, PausableRun, Reclaimable, Rooms,
+    WorkerCapacity,
 };
 use std::time::Duration;
 use types::Timestamp;
@@ -35,6 +36,7 @@
 fn gang(job: u64, tasks: u32, each: u64) -> Demand {
     Demand {
         step: StepRef { job, occurrence: 0, step: 0 },
+        account: None,
         tasks: (0..tasks).collect(),
         need: cores(each),
         gang: true,
@@ -70,7 +72,9 @@
     let paused = |tasks| {
         let demands = [gang(1, tasks, 4)];
         let decided =
-            plan(&mut capacities(&infos, &[0, 0]), &[], &demands, NOW, |l| pausable(l, 4, 2));
+            plan(&mut capacities(&infos, &[0, 0]), &[], &demands, Rooms::default(), NOW, |l| {
+                pausable(l, 4, 2)
+            });
         (decided.pauses.len(), decided.claims.len())
     };
     assert_eq!(paused(4), (8, 1), "all eight runs are paused");
@@ -82,19 +86,30 @@
 fn claimed_room_is_given_to_nobody_else_and_to_the_gang_once_it_is_whole() {
     let infos = vec![info(); 2];
     let wide = gang(1, 4, 4);
-    let first =
-        plan(&mut capacities(&infos, &[8, 2]), &[], std::slice::from_ref(&wide), NOW, |l| {
-            pausable(l, if l == 2 { 3 } else { 0 }, 2)
-        });
+    let first = plan(
+        &mut capacities(&infos, &[8, 2]),
+        &[],
+        std::slice::from_ref(&wide),
+        Rooms::default(),
+        NOW,
+        |l| pausable(l, if l == 2 { 3 } else { 0 }, 2),
+    );
     let [claim] = &first.claims[..] else { panic!("{:?}", first.claims) };
     let urgent = Demand { priority: 0, gang: false, ..gang(2, 1, 2) };
     let held = [(claim.clone(), wide)];
     let at = NOW + 100 * MS;
     let none = |_| Reclaimable::default();
-    let second =
-        plan(&mut capacities(&infos, &[8, 2]), &held, std::slice::from_ref(&urgent), at, none);
+    let second = plan(
+        &mut capacities(&infos, &[8, 2]),
+        &held,
+        std::slice::from_ref(&urgent),
+        Rooms::default(),
+        at,
+        none,
+    );
     assert!(second.placements.is_empty(), "{:?}", second.placements);
-    let third = plan(&mut capacities(&infos, &[8, 8]), &held, &[urgent], at + STOP, none);
+    let third =
+        plan(&mut capacities(&infos, &[8, 8]), &held, &[urgent], Rooms::default(), at + STOP, none);
     assert_eq!(third.placements.len(), 1, "{:?}", third.placements);
     assert_eq!(third.placements[0].tasks.len(), 4);
 }
@@ -107,13 +122,17 @@
     let advance = |after, free| {
         let held = [(claim.clone(), wide.clone())];
         let none = |_| Reclaimable::default();
-        plan(&mut capacities(&infos, &[free]), &held, &[], NOW + after, none).dropped_claims.len()
+        plan(&mut capacities(&infos, &[free]), &held, &[], Rooms::default(), NOW + after, none)
+            .dropped_claims
+            .len()
     };
     assert_eq!(advance(100 * MS, 4), 0);
     assert_eq!(advance(Duration::from_secs(2), 4), 1, "its capacity was never freed");
     let gone = Claim { workers: vec![(7, 2)], ..claim.clone() };
     let held = [(gone, wide.clone())];
-    let decided = plan(&mut capacities(&infos, &[8]), &held, &[], NOW, |_| Reclaimable::default());
+    let decided = plan(&mut capacities(&infos, &[8]), &held, &[], Rooms::default(), NOW, |_| {
+        Reclaimable::default()
+    });
     assert_eq!(decided.dropped_claims.len(), 1, "its worker is gone");
 }
 
@@ -124,7 +143,9 @@
     let wide =
         Demand { eligible: EligibleWorkers::Only(vec![(1, NOW), (2, almost)]), ..gang(1, 4, 4) };
     let decided =
-        plan(&mut capacities(&infos, &[8, 8]), &[], &[wide], NOW, |_| Reclaimable::default());
+        plan(&mut capacities(&infos, &[8, 8]), &[], &[wide], Rooms::default(), NOW, |_| {
+            Reclaimable::default()
+        });
     assert!(decided.placements.is_empty());
     assert_eq!(decided.claims.len(), 1, "the capacity is held meanwhile");
     let renewed: Vec<&[LifeId]> = decided.renew.iter().map(|(_, lives)| &lives[..]).collect();
@@ -136,7 +157,8 @@
     let infos = vec![info(); 1];
     let overdue =
         |_| Reclaimable { ending: vec![(Duration::ZERO, cores(8))], ..Reclaimable::default() };
-    let decided = plan(&mut capacities(&infos, &[0]), &[], &[gang(1, 2, 4)], NOW, overdue);
+    let decided =
+        plan(&mut capacities(&infos, &[0]), &[], &[gang(1, 2, 4)], Rooms::default(), NOW, overdue);
     assert!(decided.claims.is_empty(), "{:?}", decided.claims);
     assert_eq!(decided.waiting.len(), 1, "it waits for the run to end");
 }
--- a/crates/placement/tests/steps.rs
+++ b/crates/placement/tests/steps.rs
@@ -2,8 +2,8 @@
 
 use jobs::{LifeId, Placement, ResourceVector, StepRef, TaskRef, WorkerInfo};
 use placement::steps::{
-    plan, rank, Demand, EligibleWorkers, Isolation, PausableRun, Reclaimable, StepPlan, Urgency,
-    WorkerCapacity,
+    plan, rank, Demand, EligibleWorkers, Isolation, PausableRun, Reclaimable, Rooms, StepPlan,
+    Urgency, WorkerCapacity,
 };
 use std::time::Duration;
 
@@ -41,6 +41,7 @@
 fn demand(job: u64, tasks: u32, cpu: u64) -> Demand {
     Demand {
         step: step(job),
+        account: None,
         tasks: (0..tasks).collect(),
         need: ResourceVector { cpu, memory: 10, gpu: 0 },
         gang: false,
@@ -61,7 +62,7 @@
 }
 
 fn run(workers: &mut [WorkerCapacity<'_>], demands: &[Demand]) -> StepPlan {
-    plan(workers, &[], demands, NOW, |_| Reclaimable::default())
+    plan(workers, &[], demands, Rooms::default(), NOW, |_| Reclaimable::default())
 }
 
 fn placed(plan: &StepPlan, job: u64) -> usize {
@@ -155,8 +156,10 @@
         can_wait_for_stop,
         ..demand(1, 1, 3_000)
     };
-    let pauses =
-        |demand| plan(&mut capacities(&infos, &[0]), &[], &[demand], NOW, reclaimable).pauses;
+    let pauses = |demand| {
+        plan(&mut capacities(&infos, &[0]), &[], &[demand], Rooms::default(), NOW, reclaimable)
+            .pauses
+    };
     assert_eq!(pauses(tight(0, true)), [(1, task(0), 1), (1, task(1), 1)]);
     assert_eq!(pauses(tight(2, true)), [], "runs of the same priority are not paused");
     assert_eq!(pauses(tight(0, false)), [], "the step would be late anyway");
@@ -238,7 +241,8 @@
             });
             Reclaimable { pausable: pausable.collect(), ..Reclaimable::default() }
         };
-        let decided = plan(&mut capacities(&infos, &free), &[], &demands, NOW, reclaimable);
+        let decided =
+            plan(&mut capacities(&infos, &free), &[], &demands, Rooms::default(), NOW, reclaimable);
         for (_, task, _) in &decided.pauses {
             let i = running.iter().position(|run| run.1 == task.step.job).expect("it runs");
             let (_, job, ..) = running.remove(i);
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -7,6 +7,7 @@
 };
 use crate::node::NodeStats;
 use crate::planning::urgency;
+use crate::quota_waits::QuotaWaits;
 use crate::zones::Zones;
 use consensus::Term;
 use dispatch::{AdviceTracker, OrderId, RunTraits, Session};
@@ -52,6 +53,8 @@
     /// Earliest time at which a waiting step is tried again; steps without an entry are tried in
     /// the next pass.
     pub(crate) retry_at: SortedMap<StepRef, Timestamp>,
+    /// Steps that wait for room under the quota of their account.
+    pub(crate) quota_waits: QuotaWaits,
     /// Capacity reserved for gangs that don't fit yet, oldest claim first.
     pub(crate) claims: Vec<Claim>,
     /// Whether proposed placements are not applied yet. No pass runs until then.
@@ -94,6 +97,7 @@
             advice_lives: SortedMap::default(),
             ready: SortedMap::default(),
             retry_at: SortedMap::default(),
+            quota_waits: QuotaWaits::default(),
             claims: Vec::new(),
             placement_in_flight: false,
             plan_due: true,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -44,6 +44,7 @@
 mod node;
 mod outbox;
 mod planning;
+mod quota_waits;
 mod reconfigure;
 mod votes;
 mod worker_restart;
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -5,6 +5,7 @@
 use crate::job_log::hex;
 use crate::leader::{Leader, MIN_PLAN_INTERVAL};
 use crate::node::Node;
+use crate::quota_waits::{rooms, without_claims};
 use dispatch::{AdviceCall, RunStatus, RunTraits};
 use jobs::{Command, LifeId, Placement, Progress, RunNumber, State, StepRef, TaskRef};
 use placement::speeds::Speeds;
@@ -99,7 +100,13 @@
     fn plan(&mut self, state: &State, callers: &[HostId], now: Timestamp) -> PassResult {
         self.advice.set_callers(callers);
         self.ready.retain(|step, _| state.job(step.job).is_some_and(|job| job.is_ready(*step)));
-        self.retry_at.retain(|step, _| self.ready.contains_key(step));
+        let rooms = rooms(state, self.ready.keys());
+        let beside_claims = without_claims(state, &rooms, &self.claims);
+        let claimed = |step: &&StepRef| self.claims.iter().any(|claim| claim.step == **step);
+        let unclaimed = self.ready.keys().filter(|step| !claimed(step));
+        self.quota_waits.update(state, unclaimed, &beside_claims);
+        let waits = |step: &StepRef| self.quota_waits.contains(step);
+        self.retry_at.retain(|step, _| self.ready.contains_key(step) && !waits(step));
         let mut workers = self.worker_capacities(state, now);
         let mut calls = Vec::new();
         let mut demands = Vec::new();
@@ -118,7 +125,7 @@
         demands.sort_by_key(|demand| !demand.suspect);
         let suspect = |step: &StepRef| demands.iter().any(|d| d.suspect && d.step == *step);
         let decided =
-            plan(&mut workers, &claimed, &demands, now, |life| self.reclaimable(life, now));
+            plan(&mut workers, &claimed, &demands, rooms, now, |life| self.reclaimable(life, now));
         self.update_claims(&decided, now);
         for (step, lives) in decided.renew {
             self.schedule_retry(step, now + ADVICE_RETRY_INTERVAL);
@@ -138,10 +145,12 @@
         PassResult { placements, calls, pauses: decided.pauses }
     }
 
-    /// Waiting steps without a claim whose retry time has come, the most urgent first.
+    /// Waiting steps without a claim whose retry time has come and whose account has room, the most
+    /// urgent first.
     fn due_steps(&self, now: Timestamp) -> Vec<(StepRef, Urgency)> {
         let due = |step: &StepRef| {
             self.retry_at.get(step).is_none_or(|at| now >= *at)
+                && !self.quota_waits.contains(step)
                 && !self.claims.iter().any(|claim| claim.step == *step)
         };
         let ranked = self.ready.iter().filter(|(step, _)| due(step));
@@ -295,6 +304,7 @@
             if spec.max_per_worker > 0 { count_placed_by_life(progress) } else { Vec::new() };
         Some(Demand {
             step,
+            account: job.account.clone(),
             tasks,
             need: spec.charge(),
             gang: spec.gang,
