Histories with accounts, quotas that change, and a loss of all power

Change: the simulated cell may have accounts; the oracle sums what each has running on the workers at each start, late orders included, and compares it with the quotas that may be in force. Half of the histories have deadly tasks too. run_history returns both what it returned and how often quotas were used up. A cell that learns of no quota is found at once (test).

--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -14,13 +14,17 @@
 use dispatch::InjectedBug;
 use jobs::Phase;
 use world::losses::{Losses, Tolerance, TOUCH_TIME};
+use world::quotas::Quotas;
 use world::replacements::Replacements;
 use world::{World, DISKS, HOSTS, WORKERS};
 
 const DEFAULT_HISTORIES: u64 = 40;
 const DEFAULT_REPLACED_HISTORIES: u64 = 21;
 const DEFAULT_DEADLY_HISTORIES: u64 = 20;
+const DEFAULT_ACCOUNT_HISTORIES: u64 = 10;
 const DEFAULT_SEED: u64 = 31;
+/// Histories with accounts show little if fewer starts than this, in each, use most of a quota.
+const MIN_NEARLY_FULL: u64 = 10;
 /// Length of the part of a history with faults, in milliseconds.
 const FAULT_PERIOD: u64 = 40_000;
 /// All accepted jobs must finish within this time after the last fault, in milliseconds. It covers
@@ -50,10 +54,22 @@
     short_log: bool,
     /// Whether tasks crash their workers, and workers' capacities change.
     deadly: bool,
+    accounts: Quota,
     /// All accepted jobs must finish within this time after the last fault, in milliseconds.
     settle: u64,
 }
 
+/// Accounts of a history.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Quota {
+    /// There are no accounts.
+    NoAccounts,
+    /// There are accounts with quotas that change, and all hosts lose power once.
+    Kept,
+    /// The same, but the cell learns of no quota.
+    Withheld,
+}
+
 const ONE_OF_THREE: Tolerance = Tolerance { at_once: 1, catch_up: 4_000 };
 const TWO_OF_SIX: Tolerance = Tolerance { at_once: 2, catch_up: 6_000 };
 
@@ -68,10 +84,16 @@
             first_fault: 4_000,
             short_log: false,
             deadly: false,
+            accounts: Quota::NoAccounts,
             settle: SETTLE_PERIOD,
         }
     }
 
+    /// There are accounts with quotas, and deadly tasks in half of the histories.
+    fn accounts(seed: u64) -> Shape {
+        Shape { accounts: Quota::Kept, deadly: seed % 4 > 1, ..Shape::deadly_tasks(seed) }
+    }
+
     /// Tasks crash their workers, which come back under other names in half of the histories, and
     /// the capacities of workers shrink and grow.
     fn deadly_tasks(seed: u64) -> Shape {
@@ -92,6 +114,7 @@
             first_fault: START_TIME + tolerance.catch_up,
             short_log: seed.is_multiple_of(2),
             deadly: false,
+            accounts: Quota::NoAccounts,
             settle: SETTLE_PERIOD,
         }
     }
@@ -350,15 +373,28 @@
     pending.observe(world);
 }
 
-/// Runs one history. Returns the number of starts, or a description of the violated invariants.
-fn run_history(seed: u64, injected_bug: InjectedBug, shape: Shape) -> Result<u64, String> {
+/// What a history without violations has covered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    starts: u64,
+    /// Starts that brought an account to more than three quarters of its quota.
+    nearly_full: u64,
+}
+
+/// Runs one history. Returns what it covered, or a description of the violated invariants.
+fn run_history(seed: u64, injected_bug: InjectedBug, shape: Shape) -> Result<Outcome, String> {
     let mut clocks = fastrand::Rng::with_seed(!seed);
     let clocks_ahead = std::array::from_fn(|_| clocks.u64(..MAX_CLOCK_DIFFERENCE));
     let mut world = World::with_tuning(seed, injected_bug, clocks_ahead, shape.tuning());
     for _ in DISKS..shape.disks {
         world.add_host(clocks.u64(..MAX_CLOCK_DIFFERENCE));
     }
-    world.configure(1);
+    let with_accounts = shape.accounts != Quota::NoAccounts;
+    if with_accounts {
+        world.quotas = Some(Quotas::new(seed, shape.accounts == Quota::Withheld));
+    }
+    let mut version = 1;
+    world.configure(version);
     world.run_until(shape.first_fault);
     let mut pending = Pending::new(&world, shape);
     let mut trouble = fastrand::Rng::with_seed(seed ^ 0xdead);
@@ -368,6 +404,7 @@
     world.crashes.dark = !shape.deadly || seed.is_multiple_of(3);
     let mut ids = Vec::new();
     let end = world.now + FAULT_PERIOD;
+    let mut power_loss = with_accounts.then(|| world.now + trouble.u64(..FAULT_PERIOD));
     while world.now < end {
         let next = world.now + world.rng.u64(20..400);
         let next = pending.next_due(world.now).map_or(next, |due| due.min(next));
@@ -391,6 +428,14 @@
             let cpu = trouble.u64(4_000..=8_000);
             world.resize_worker(trouble.usize(..WORKERS), cpu);
         }
+        if with_accounts && trouble.u8(..50) == 0 {
+            version += 1;
+            world.configure(version);
+        }
+        if power_loss.is_some_and(|at| world.now >= at) {
+            power_loss = None;
+            lose_power(&mut world, &mut pending);
+        }
         if world.rng.u8(..20) == 0 && !ids.is_empty() {
             let id = ids[world.rng.usize(..ids.len())];
             world.cancel(id);
@@ -401,6 +446,9 @@
     }
     recover(&mut world, &mut pending, true);
     (0..WORKERS).for_each(|w| world.resize_worker(w, 8_000));
+    if with_accounts {
+        world.configure_quotas(version + 1, false);
+    }
     let settled = world.now + shape.settle;
     while world.now < settled {
         let next = world.now + 2_000;
@@ -412,7 +460,18 @@
     check(&mut world, &mut pending)?;
     check_jobs_are_over(&world)?;
     lose_at_the_end(&mut world, &mut pending)?;
-    Ok(world.starts)
+    let nearly_full = world.quotas.as_ref().map_or(0, |quotas| quotas.nearly_full);
+    Ok(Outcome { starts: world.starts, nearly_full })
+}
+
+/// All hosts lose power at the same time and come back one after the other.
+fn lose_power(world: &mut World, pending: &mut Pending) {
+    for i in 0..HOSTS {
+        if world.is_up(i) {
+            world.kill(i);
+            pending.restart.push((world.now + 100 + world.rng.u64(..2_000), i));
+        }
+    }
 }
 
 /// Checks what the oracle has found, and that the group has a leader when it must have one.
@@ -457,15 +516,19 @@
 }
 
 /// Runs all histories and fails with the seeds and causes of those that fail.
-fn run_histories(default_count: u64, shape: fn(u64) -> Shape) {
+/// Returns how many starts brought an account to most of its quota.
+fn run_histories(default_count: u64, shape: fn(u64) -> Shape) -> u64 {
     let first = setting("EBONYWALK_SEED", DEFAULT_SEED);
     let count = setting("EBONYWALK_HISTORIES", default_count);
     println!("histories: {count} from seed {first}");
-    let mut starts = 0;
+    let mut covered = Outcome::default();
     let mut failures = Vec::new();
     for seed in first..first + count {
         match run_history(seed, InjectedBug::None, shape(seed)) {
-            Ok(count) => starts += count,
+            Ok(Outcome { starts, nearly_full }) => {
+                covered.starts += starts;
+                covered.nearly_full += nearly_full;
+            }
             Err(cause) => {
                 println!("seed {seed} fails");
                 failures.push(format!("seed {seed}: {cause}"));
@@ -473,7 +536,9 @@
         }
     }
     assert!(failures.is_empty(), "{} of {count} fail:\n{}", failures.len(), failures.join("\n"));
+    let starts = covered.starts;
     assert!(starts > count * 50, "only {starts} starts: too few for a meaningful test");
+    covered.nearly_full
 }
 
 #[test]
@@ -487,6 +552,22 @@
     run_histories(DEFAULT_REPLACED_HISTORIES, Shape::replaced_hosts);
 }
 
+/// Guards against accounts that have more running than their quota allows.
+#[test]
+fn promises_hold_with_quotas_of_accounts() {
+    let nearly_full = run_histories(DEFAULT_ACCOUNT_HISTORIES, Shape::accounts);
+    let count = setting("EBONYWALK_HISTORIES", DEFAULT_ACCOUNT_HISTORIES);
+    assert!(nearly_full > count * MIN_NEARLY_FULL, "quotas are hardly ever used up");
+}
+
+#[test]
+fn notices_accounts_above_their_quotas() {
+    let first = setting("EBONYWALK_SEED", DEFAULT_SEED);
+    let shape = Shape { accounts: Quota::Withheld, ..Shape::fixed_hosts() };
+    let cause = run_history(first, InjectedBug::None, shape).unwrap_err();
+    assert!(cause.contains("brings its account above its quota"), "{cause}");
+}
+
 /// Guards against tasks that crash one worker after the other, jobs that are given up without a
 /// cause, and starts on capacity that a worker has no more.
 #[test]
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod logger;
 pub(crate) mod losses;
+pub(crate) mod quotas;
 pub(crate) mod replacements;
 mod runs;
 mod worker;
@@ -15,6 +16,7 @@
     Configuration, JobRequest, Phase, QueueAddress, QueuePolicy, ResourceVector, RunNumber,
     ServicePolicy, StepSpec, TaskRef,
 };
+use quotas::Quotas;
 use scheduler::{
     Answer, Call, Input, Node, NodeConfigBuilder, OrderEnvelope, Output, PeerMessage, StartState,
 };
@@ -160,6 +162,8 @@
     injected_bug: InjectedBug,
     tuning: Tuning,
     pub(crate) crashes: Crashes,
+    /// Quotas of the accounts; `None` if there are no accounts.
+    pub(crate) quotas: Option<Quotas>,
 }
 
 fn ms(millis: u64) -> Duration {
@@ -255,6 +259,7 @@
             injected_bug,
             tuning,
             crashes: Crashes::default(),
+            quotas: None,
         };
         for i in 0..HOSTS {
             world.start(i, true);
@@ -399,8 +404,17 @@
     }
 
     pub(crate) fn configure(&mut self, version: u64) {
+        self.configure_quotas(version, true);
+    }
+
+    /// Sends a configuration with random quotas for the accounts, if there are any, or without.
+    pub(crate) fn configure_quotas(&mut self, version: u64, limited: bool) {
         let host = self.any_of_group();
-        self.call(host, Call::Configure(Box::new(configuration(version))));
+        let mut configuration = configuration(version);
+        if let Some(quotas) = &mut self.quotas {
+            quotas.add_to(&mut configuration, limited);
+        }
+        self.call(host, Call::Configure(Box::new(configuration)));
     }
 
     /// Submits a random job.
@@ -437,13 +451,19 @@
         let host = self.rng.usize(DISKS..HOSTS);
         self.call(
             host,
-            Call::Submit { id, queue: queue(advised), request: Box::new(request), key: None },
+            Call::Submit {
+                id,
+                queue: queue(advised),
+                request: Box::new(request),
+                key: self.key_for(id),
+            },
         );
     }
 
     pub(crate) fn cancel(&mut self, id: JobId) {
         let host = self.rng.usize(DISKS..HOSTS);
-        self.call(host, Call::Cancel { id, queue: queue(false), key: None });
+        let key = self.key_for(id);
+        self.call(host, Call::Cancel { id, queue: queue(false), key });
     }
 
     fn input(&mut self, i: usize, input: Input) {
@@ -510,7 +530,7 @@
             (Call::Submit { id, .. }, Ok(_)) => self.jobs.get_mut(&id).unwrap().accepted = true,
             // Clients retry a submission with an unknown outcome.
             (Call::Submit { id, queue, request, key }, Err(refusal))
-                if refusal.kind != RefusalKind::NotFound =>
+                if !matches!(refusal.kind, RefusalKind::NotFound | RefusalKind::BadInput) =>
             {
                 let host = self.rng.usize(DISKS..HOSTS);
                 let call = Call::Submit { id, queue, request, key };
@@ -524,6 +544,11 @@
             (Call::JobPhase { id, .. }, Ok(Answer::Phase(phase))) => {
                 self.on_phase(id, phase, asked)
             }
+            (Call::Configure(configuration), Ok(_)) => {
+                if let Some(quotas) = &mut self.quotas {
+                    quotas.acknowledge(configuration.version, self.now);
+                }
+            }
             (Call::Configure(configuration), Err(_)) => {
                 let host = self.any_of_group();
                 let call = Call::Configure(configuration);
@@ -647,7 +672,7 @@
     /// Asks for the number of waiting jobs in each queue.
     pub(crate) fn ask_waiting(&mut self) {
         for advised in [false, true] {
-            self.call(DISKS, Call::CountWaiting { queue: queue(advised), key: None });
+            self.call(DISKS, Call::CountWaiting { queue: queue(advised), key: self.key_for(0) });
         }
     }
 
@@ -655,7 +680,7 @@
     pub(crate) fn ask(&mut self, id: JobId) {
         for advised in [false, true] {
             let host = self.rng.usize(DISKS..HOSTS);
-            self.call(host, Call::JobPhase { id, queue: queue(advised), key: None });
+            self.call(host, Call::JobPhase { id, queue: queue(advised), key: self.key_for(id) });
         }
     }
 }
--- a/crates/scheduler/tests/world/runs.rs
+++ b/crates/scheduler/tests/world/runs.rs
@@ -52,6 +52,10 @@
                 if self.workers[w].is_over(&used, now, late) {
                     violations.push("is more than its worker can hold");
                 }
+                let need = step.need;
+                if self.passes_quota(task, need) {
+                    violations.push("brings its account above its quota");
+                }
             }
         }
         if let Some(known) = self.jobs.get_mut(&task.step.job) {
