--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod logger;
 pub(crate) mod losses;
+pub(crate) mod quotas;
 pub(crate) mod replacements;
 mod runs;
 mod worker;
@@ -17,6 +18,7 @@
     Configuration, JobRequest, Phase, QueueAddress, QueuePolicy, ResourceVector, RunNumber,
     ServicePolicy, StepSpec, TaskRef,
 };
+use quotas::Quotas;
 use scheduler::{
     Answer, Call, Input, Node, NodeConfigBuilder, OrderEnvelope, Output, PeerMessage, StartState,
 };
@@ -165,6 +167,8 @@
     pub(crate) callers: callers::Callers,
     /// How far the time of day on odd hosts is ahead of the world's.
     pub(crate) wall_clock_ahead: u64,
+    /// Quotas of the accounts; `None` if there are no accounts.
+    pub(crate) quotas: Option<Quotas>,
 }
 
 fn ms(millis: u64) -> Duration {
@@ -262,6 +266,7 @@
             crashes: Crashes::default(),
             callers: callers::Callers::default(),
             wall_clock_ahead: 0,
+            quotas: None,
         };
         for i in 0..HOSTS {
             world.start(i, true);
@@ -407,8 +412,17 @@
     }
 
     pub(crate) fn configure(&mut self, version: u64) {
+        self.configure_quotas(version, true);
+    }
+
+    /// Sends a configuration with random quotas for the accounts, if there are any, or without.
+    pub(crate) fn configure_quotas(&mut self, version: u64, limited: bool) {
         let host = self.any_of_group();
-        self.call(host, Call::Configure(Box::new(configuration(version))));
+        let mut configuration = configuration(version);
+        if let Some(quotas) = &mut self.quotas {
+            quotas.add_to(&mut configuration, limited);
+        }
+        self.call(host, Call::Configure(Box::new(configuration)));
     }
 
     /// Submits a random job.
@@ -445,13 +459,19 @@
         let host = self.rng.usize(DISKS..HOSTS);
         self.call(
             host,
-            Call::Submit { id, queue: queue(advised), request: Box::new(request), key: None },
+            Call::Submit {
+                id,
+                queue: queue(advised),
+                request: Box::new(request),
+                key: self.key_for(id),
+            },
         );
     }
 
     pub(crate) fn cancel(&mut self, id: JobId) {
         let host = self.rng.usize(DISKS..HOSTS);
-        self.call(host, Call::Cancel { id, queue: queue(false), key: None });
+        let key = self.key_for(id);
+        self.call(host, Call::Cancel { id, queue: queue(false), key });
     }
 
     fn input(&mut self, i: usize, input: Input) {
@@ -520,7 +540,7 @@
             (Call::Submit { id, .. }, Ok(_)) => self.jobs.get_mut(&id).unwrap().accepted = true,
             // Clients retry a submission with an unknown outcome.
             (Call::Submit { id, queue, request, key }, Err(refusal))
-                if refusal.kind != RefusalKind::NotFound =>
+                if !matches!(refusal.kind, RefusalKind::NotFound | RefusalKind::BadInput) =>
             {
                 let host = self.rng.usize(DISKS..HOSTS);
                 let call = Call::Submit { id, queue, request, key };
@@ -534,6 +554,11 @@
             (Call::JobPhase { id, .. }, Ok(Answer::Phase(phase))) => {
                 self.on_phase(id, phase, asked)
             }
+            (Call::Configure(configuration), Ok(_)) => {
+                if let Some(quotas) = &mut self.quotas {
+                    quotas.acknowledge(configuration.version, self.now);
+                }
+            }
             (Call::Configure(configuration), Err(_)) => {
                 let host = self.any_of_group();
                 let call = Call::Configure(configuration);
@@ -657,7 +682,7 @@
     /// Asks for the number of waiting jobs in each queue.
     pub(crate) fn ask_waiting(&mut self) {
         for advised in [false, true] {
-            self.call(DISKS, Call::CountWaiting { queue: queue(advised), key: None });
+            self.call(DISKS, Call::CountWaiting { queue: queue(advised), key: self.key_for(0) });
         }
     }
 
@@ -665,7 +690,7 @@
     pub(crate) fn ask(&mut self, id: JobId) {
         for advised in [false, true] {
             let host = self.rng.usize(DISKS..HOSTS);
-            self.call(host, Call::JobPhase { id, queue: queue(advised), key: None });
+            self.call(host, Call::JobPhase { id, queue: queue(advised), key: self.key_for(id) });
         }
     }
 }
