A configuration change sends only the accounts that changed

Change: accounts are recorded by version and sent in parts like queues. The last part holds a digest of all accounts; a host whose result differs keeps what it has and asks for all. Tests: the storm of configurations now has 130 accounts, of which each version changes one and removes one; its bounds are unchanged, its queues are open since its calls have no key.

--- a/crates/accounts/src/account.rs
+++ b/crates/accounts/src/account.rs
@@ -2,6 +2,7 @@
 
 use crate::key::KeyDigest;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use types::{AccountName, ResourceVector};
 
 /// A client account.
@@ -65,6 +66,9 @@
     }
 }
 
+/// Digest of all accounts of a configuration.
+pub type AccountsDigest = [u8; 32];
+
 /// All accounts of a configuration, sorted by name.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Accounts {
@@ -118,6 +122,29 @@
         self.accounts.iter()
     }
 
+    /// Digest of all accounts with all their fields, to compare those of two hosts.
+    ///
+    /// ```
+    /// use accounts::{AccountBuilder, Accounts};
+    /// let of = |key: &str| Accounts::new(vec![AccountBuilder::new("a").key(key).build()]).unwrap();
+    /// assert_eq!(of("k").digest(), of("k").digest());
+    /// assert_ne!(of("k").digest(), of("other").digest());
+    /// ```
+    pub fn digest(&self) -> AccountsDigest {
+        let mut hash = Sha256::new();
+        for Account { name, keys, priority, weight, quota } in &self.accounts {
+            hash.update((name.len() as u64).to_le_bytes());
+            hash.update(name.as_bytes());
+            hash.update((keys.len() as u64).to_le_bytes());
+            keys.iter().for_each(|key| hash.update(key.as_bytes()));
+            hash.update(priority.to_le_bytes());
+            hash.update(weight.to_bits().to_le_bytes());
+            let ResourceVector { cpu, memory, gpu } = quota;
+            [cpu, memory, gpu].iter().for_each(|limit| hash.update(limit.to_le_bytes()));
+        }
+        hash.finalize().into()
+    }
+
     /// Whether there are no accounts, so that no caller needs a key.
     pub fn is_empty(&self) -> bool {
         self.accounts.is_empty()
--- a/crates/accounts/src/key.rs
+++ b/crates/accounts/src/key.rs
@@ -27,6 +27,10 @@
         digest.copy_from_slice(&full[..DIGEST_BYTES]);
         KeyDigest(digest)
     }
+
+    pub(crate) fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 /// Shows the first bytes, enough to tell the keys of a configuration apart.
--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -21,7 +21,7 @@
 mod key;
 mod quota;
 
-pub use account::{Account, AccountBuilder, Accounts};
+pub use account::{Account, AccountBuilder, Accounts, AccountsDigest};
 pub use admittance::{Admittance, Claim, Freshness};
 pub use key::KeyDigest;
 pub use quota::Usage;
--- a/crates/scheduler/tests/configurations.rs
+++ b/crates/scheduler/tests/configurations.rs
@@ -1,5 +1,6 @@
 //! Configurations on their way to fifty hosts on slow links, in virtual time.
 
+use accounts::{Account, AccountBuilder, Accounts};
 use jobs::{Configuration, QueueAddress, QueuePolicy, ServicePolicy};
 use scheduler::{
     Answer, Call, Input, Node, NodeConfigBuilder, Outbox, Output, PeerMessage, StartState,
@@ -22,6 +23,10 @@
 /// Routes that the operator has at first, and those that are added at once.
 const FIRST_QUEUES: usize = 40;
 const ADDED_QUEUES: usize = 1_360;
+/// Client accounts that the operator has.
+const ACCOUNTS: usize = 130;
+/// A change of one queue and one account takes no more bytes than this on a link.
+const MAX_CHANGE_BYTES: usize = 1_000;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -39,11 +44,23 @@
         slack: ms(1_000),
         request_timeout: ms(3_000),
         advice: None,
-        open: false,
+        open: true,
     };
     (address, policy)
 }
 
+/// The accounts of a version, of which each has two keys. One of them differs from the version before.
+fn accounts(version: Version) -> Accounts {
+    let account = |i: usize| -> Account {
+        let generation = (version + ACCOUNTS as u64 - i as u64) / ACCOUNTS as u64;
+        let account = AccountBuilder::new(format!("account-{i:03}")).key(&format!("key-{i}"));
+        account.key(&format!("key-{i}-{generation}")).build()
+    };
+    // Each version lacks one account.
+    let is_there = |i: &usize| *i != version as usize % 7;
+    Accounts::new((0..ACCOUNTS).filter(is_there).map(account).collect()).unwrap()
+}
+
 fn configuration(version: Version, queues: usize) -> Configuration {
     let mut queues: Vec<_> = (0..queues).map(queue).collect();
     // Each version changes one queue and removes another one.
@@ -54,6 +71,7 @@
         document: vec![b'x'; queues.len() * 280],
         queues,
         services: vec![ServicePolicy { name: "crunch".into(), ..ServicePolicy::default() }],
+        accounts: accounts(version),
         ..Configuration::default()
     }
 }
@@ -74,10 +92,16 @@
     in_flight: Option<(u64, Vec<PeerMessage>)>,
     free_at: u64,
     max_waiting: usize,
+    /// Bytes of configurations that were sent.
+    configuration_bytes: usize,
 }
 
 impl Link {
     fn push(&mut self, message: PeerMessage, discipline: Discipline) {
+        if message.is_bulk() {
+            let encoded = postcard::to_stdvec(&message).expect("plain data always encodes");
+            self.configuration_bytes += encoded.len();
+        }
         match discipline {
             Discipline::Outbox => assert!(self.outbox.push(message), "a message was dropped"),
             Discipline::Fifo => self.fifo.push_back(message),
@@ -143,6 +167,7 @@
             in_flight: None,
             free_at: 0,
             max_waiting: 0,
+            configuration_bytes: 0,
         };
         let host = |i: usize| Host {
             node: node(&host_name(i), false),
@@ -278,6 +303,8 @@
         let mut found = host.node.configuration().queues.clone();
         found.sort_by(|a, b| a.0.cmp(&b.0));
         assert!(found == expected.queues, "a host has other queues than the operator sent");
+        let found = &host.node.configuration().accounts;
+        assert!(*found == expected.accounts, "a host has other accounts than the operator sent");
         assert!(host.node.configuration().document.is_empty(), "hosts don't need the document");
     }
     let waiting = cell.hosts.iter().map(|host| host.link.max_waiting).max().unwrap();
@@ -328,7 +355,27 @@
         let mut found = host.node.configuration().queues.clone();
         found.sort_by(|a, b| a.0.cmp(&b.0));
         assert!(found == configuration(9, FIRST_QUEUES + 9).queues, "other queues than sent");
+        assert!(host.node.configuration().accounts == accounts(9), "other accounts than sent");
+    }
+}
+
+/// Guards against accounts that are sent whole with each change, to hosts on slow links.
+#[test]
+fn a_change_of_one_key_sends_one_account() {
+    let mut cell = Cell::new(Discipline::Outbox);
+    for version in 1..=3 {
+        cell.hosts.iter_mut().for_each(|host| host.link.configuration_bytes = 0);
+        cell.configure(configuration(version, FIRST_QUEUES));
+        let limit = cell.now + 1_000;
+        while !cell.all_have(version) {
+            assert!(cell.now < limit, "version {version} is not in force everywhere");
+            cell.step(false);
+        }
+        assert!(cell.hosts.iter().all(|h| h.node.configuration().accounts == accounts(version)));
     }
+    let bytes = cell.hosts.iter().map(|host| host.link.configuration_bytes).max().unwrap();
+    println!("{bytes} bytes for a change");
+    assert!(bytes < MAX_CHANGE_BYTES, "{bytes} bytes for a change");
 }
 
 /// Guards against refusing work for a queue that exists: a host that has heard of a newer
--- a/crates/scheduler/tests/revocation.rs
+++ b/crates/scheduler/tests/revocation.rs
@@ -4,13 +4,13 @@
 #[allow(dead_code)]
 mod world;
 
-use accounts::Admittance;
+use accounts::{AccountBuilder, Accounts, Admittance};
 use consensus::Tuning;
 use dispatch::InjectedBug;
 use jobs::Configuration;
 use scheduler::{
-    ConfigurationEnd, ConfigurationPart, Confirmation, Input, Node, NodeConfigBuilder, PeerMessage,
-    StartState,
+    ConfigurationEnd, ConfigurationPart, Confirmation, Input, Node, NodeConfigBuilder, Output,
+    PeerMessage, StartState,
 };
 use std::time::Duration;
 use types::Timestamp;
@@ -246,17 +246,52 @@
     answer(&mut node, ms(1_260), 7, asked(1_250));
     assert_eq!(node.confirmed_at(), Some(ms(1_000)), "version 7 is not there yet");
     let Configuration { services, limits, accounts, .. } = Configuration::default();
-    let end = ConfigurationEnd { services, limits, accounts, queue_count: 0 };
-    let part = ConfigurationPart {
-        base: None,
-        version: 7,
-        index: 0,
-        removed: Vec::new(),
-        queues: Vec::new(),
-        end: Some(end),
-    };
+    let accounts_digest = accounts.digest();
+    let end = ConfigurationEnd { services, limits, queue_count: 0, accounts_digest };
+    let part = ConfigurationPart { version: 7, end: Some(end), ..ConfigurationPart::default() };
     let message = PeerMessage::Configuration(Box::new(part));
     node.step(ms(1_300), Input::Peer("10.0.0.1".into(), message));
     assert_eq!(node.configuration().version, 7);
     assert_eq!(node.confirmed_at(), Some(ms(1_250)));
 }
+
+/// Guards against a host that goes on with other accounts than the leader has, with a key that was
+/// revoked among them.
+#[test]
+fn accounts_that_do_not_match_are_asked_for_again() {
+    let (mut node, _) = host();
+    let accounts = |keys: &[&str]| {
+        let account = |key: &&str| AccountBuilder::new(*key).key(key).build();
+        Accounts::new(keys.iter().map(account).collect()).unwrap()
+    };
+    let part = |base, version, sent: &[&str], removed: &[&str], all: &[&str]| {
+        let end = ConfigurationEnd {
+            services: Vec::new(),
+            limits: Configuration::default().limits,
+            queue_count: 0,
+            accounts_digest: accounts(all).digest(),
+        };
+        ConfigurationPart {
+            base,
+            version,
+            accounts: accounts(sent).iter().cloned().collect(),
+            removed_accounts: removed.iter().map(|name| name.to_string()).collect(),
+            end: Some(end),
+            ..ConfigurationPart::default()
+        }
+    };
+    let mut receive = |part| {
+        let message = PeerMessage::Configuration(Box::new(part));
+        let outputs = node.step(ms(1_300), Input::Peer("10.0.0.1".into(), message));
+        let asks_for_all = outputs.iter().any(|output| {
+            matches!(output, Output::Send(_, PeerMessage::Heartbeat(sent)) if sent.version == 0)
+        });
+        (node.configuration().version, node.configuration().accounts.clone(), asks_for_all)
+    };
+    let whole = receive(part(None, 1, &["a", "b"], &[], &["a", "b"]));
+    assert_eq!(whole, (1, accounts(&["a", "b"]), false));
+    let change = receive(part(Some(1), 2, &["c"], &["a"], &["b", "c"]));
+    assert_eq!(change, (2, accounts(&["b", "c"]), false));
+    let mismatch = receive(part(Some(2), 3, &["d"], &[], &["c", "d"]));
+    assert_eq!(mismatch, (2, accounts(&["b", "c"]), true), "the leader has no b any more");
+}
