--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -23,7 +23,7 @@
 mod rate;
 mod shares;
 
-pub use account::{Account, AccountBuilder, Accounts};
+pub use account::{Account, AccountBuilder, Accounts, AccountsDigest};
 pub use admittance::{Admittance, Claim, Freshness};
 pub use key::KeyDigest;
 pub use quota::Usage;
