--- a/crates/emulator/examples/heavy_day.rs
+++ b/crates/emulator/examples/heavy_day.rs
@@ -13,6 +13,7 @@
             "leads",
             "certificates",
             "tiles",
+            "uneven",
         ]))
         .arg(
             Arg::new("seeds")
@@ -20,6 +21,8 @@
                 .default_value("3")
                 .value_parser(clap::value_parser!(u64)),
         )
+        .arg(Arg::new("exact").long("exact").action(ArgAction::SetTrue))
+        .arg(Arg::new("declared").long("declared").action(ArgAction::SetTrue))
         .arg(Arg::new("leader-loss").long("leader-loss").action(ArgAction::SetTrue))
         .arg(Arg::new("flood").long("flood").action(ArgAction::SetTrue))
         .arg(Arg::new("zone-cut").long("zone-cut").action(ArgAction::SetTrue))
@@ -44,10 +47,13 @@
     let mut scenario = match args.get_one::<String>("sheet").map(String::as_str) {
         Some("certificates") => Scenario::certificate_cluster(),
         Some("tiles") => Scenario::tile_plant(),
+        Some("uneven") => Scenario::uneven_cell(),
         _ => Scenario::lead_desk(),
     };
     scenario =
         scenario.scaled_down(*args.get_one::<f64>("shrink").expect("every argument has a default"));
+    scenario.exact_estimates = args.get_flag("exact");
+    scenario.learn = !args.get_flag("declared");
     scenario.event_cost = Duration::from_micros(value("event-us"));
     if let Some(seconds) = args.get_one::<u64>("seconds") {
         scenario.arrival_period = Duration::from_secs(*seconds);
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -13,6 +13,7 @@
 use crate::model::{InDoubtStart, JobRequest, LifeId, Placement, QueueId, StepRef, TaskRef};
 use accounts::{KeyDigest, Rates, Usage};
 use ends::end_job;
+use runtimes::Learned;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use types::{AccountName, JobId, ResourceVector, SortedMap, Timestamp};
@@ -41,6 +42,8 @@
     rates: Rates,
     /// Quotas of accounts that are no longer configured and whose jobs are not over.
     former_quotas: SortedMap<AccountName, ResourceVector>,
+    /// Run times and speeds learned from finished runs.
+    learned: Learned,
     /// What the runs of each account use. Not part of snapshots: it follows from the rest.
     #[serde(skip)]
     usage: Usage,
@@ -77,11 +80,21 @@
         &self.in_doubt
     }
 
+    /// What is known about run times and the speeds of workers.
+    pub fn learned(&self) -> &Learned {
+        &self.learned
+    }
+
     /// The life with this worker name and start time.
     pub fn find_life(&self, worker: &str, born: u64) -> Option<&Life> {
         self.lives().find(|life| life.info.worker == worker && life.info.born == born)
     }
 
+    /// Number of queues that are or were configured; their ids are below it.
+    pub fn queues(&self) -> QueueId {
+        self.queues.len() as QueueId
+    }
+
     /// The latest policy of a queue.
     pub fn policy(&self, queue: QueueId) -> &QueuePolicy {
         &self.queues[queue as usize].policy
@@ -180,6 +193,10 @@
                 self.crashes.silent.remove(&life);
                 Reply::Done
             }
+            Command::Learned { evidence } => {
+                self.learned.apply(&evidence);
+                Reply::Done
+            }
         };
         (reply, effects)
     }
--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -114,6 +114,9 @@
     /// Whether the step gets only what is left over: no capacity is claimed for it while others
     /// wait, and no run is paused.
     pub yields: bool,
+    /// Whether workers differ so much in speed that a gang, which ends with its slowest member,
+    /// should run on like ones.
+    pub by_speed: bool,
 }
 
 /// Decisions of a pass.
--- a/crates/placement/tests/gangs.rs
+++ b/crates/placement/tests/gangs.rs
@@ -54,6 +54,7 @@
         renewal: RENEWAL,
         suspect: false,
         yields: false,
+        by_speed: false,
     }
 }
 
--- a/crates/placement/tests/quotas.rs
+++ b/crates/placement/tests/quotas.rs
@@ -43,6 +43,7 @@
         renewal: Duration::from_millis(500),
         suspect: false,
         yields: false,
+        by_speed: false,
     }
 }
 
--- a/crates/placement/tests/steps.rs
+++ b/crates/placement/tests/steps.rs
@@ -60,6 +60,7 @@
         renewal: Duration::from_millis(500),
         suspect: false,
         yields: false,
+        by_speed: false,
     }
 }
 
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -6,8 +6,8 @@
 use crate::job_log::{
     hex, kind_name, log_beyond_quota, log_given_up, log_job_over, log_runs_lost, objective_ms,
 };
+use crate::learning::Learning;
 use crate::node::NodeStats;
-use crate::planning::urgency;
 use crate::quota_waits::QuotaWaits;
 use crate::zones::Zones;
 use consensus::Term;
@@ -71,6 +71,7 @@
     pub(crate) scheduled: Vec<JobId>,
     pub(crate) speeds: Speeds,
     pub(crate) fairness: Fairness,
+    pub(crate) learning: Learning,
     /// Longest time that a worker may take to stop a run.
     pub(crate) stop_time: Duration,
     /// Workers whose lives ended in this step, with tasks that their next lives may still start.
@@ -113,6 +114,7 @@
             scheduled: Vec::new(),
             speeds: Speeds::default(),
             fairness: Fairness::new(now),
+            learning: Learning::new(state, cfg, now),
             stop_time: cfg.stop_time,
             ended_lives: Vec::new(),
             zones: Zones::default(),
@@ -273,6 +275,9 @@
         if let Some(traits) = run_traits(state, task, run) {
             session.set_run_traits(task, run, traits);
         }
+        if state.spec(task.step).is_some_and(|spec| spec.gang) {
+            self.learning.gang_placed(task.step, run, session.worker());
+        }
     }
 
     fn on_freed(
@@ -289,6 +294,9 @@
         if kind == Some(EndKind::Done) {
             self.learn_speed(life, task, run, now);
         }
+        if let Some(kind) = kind {
+            self.learn(life, task, run, kind, now);
+        }
         let Some(session) = self.sessions.get_mut(&life) else { return };
         session.remove_run(task, run);
         match kind {
@@ -307,7 +315,7 @@
     }
 
     fn add_ready(&mut self, state: &State, step: StepRef) {
-        if let Some(urgency) = urgency(state, step, &self.speeds) {
+        if let Some(urgency) = self.urgency(state, step) {
             self.retry_at.remove(&step);
             self.ready.insert(step, urgency);
         }
