A step behind many that found no room is tried again later

Change: the retry interval of a step without room grows by one for each 20 steps before it in the pass, up to ten times (200 ms).

--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -35,6 +35,11 @@
 const TASK_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// A gang that waits for capacity is tried again after this time. The search for a gang is wider.
 const GANG_RETRY_INTERVAL: Duration = Duration::from_millis(60);
+/// Steps that found no capacity and lie behind this many others of the same pass are tried again
+/// after twice the usual time, behind twice as many after three times that, and so on.
+const STEPS_PER_RETRY_INTERVAL: u32 = 20;
+/// Largest multiple of the usual time after which a step is tried again.
+const MAX_RETRY_INTERVALS: u32 = 10;
 /// Added to a run's estimated remaining time: the time until its end is committed.
 const END_MARGIN: Duration = Duration::from_millis(60);
 /// Added to the duration of a call for new tickets: the time for messages between the hosts.
@@ -124,13 +129,11 @@
             self.schedule_retry(step, now + ADVICE_RETRY_INTERVAL);
             calls.extend(self.next_renewal(state, step, lives, &workers, now));
         }
-        for step in &decided.unplaced {
+        for (ahead, step) in decided.unplaced.iter().enumerate() {
             let gang = state.spec(*step).is_some_and(|spec| spec.gang);
             if !decided.waiting.contains(step) && !suspect(step) {
-                self.schedule_retry(
-                    *step,
-                    now + if gang { GANG_RETRY_INTERVAL } else { TASK_RETRY_INTERVAL },
-                );
+                let usual = if gang { GANG_RETRY_INTERVAL } else { TASK_RETRY_INTERVAL };
+                self.schedule_retry(*step, now + retry_interval(usual, ahead));
             }
             calls.extend(self.next_advice_call(state, *step, &workers, now));
         }
@@ -334,6 +337,13 @@
     Some(Urgency { priority: policy.priority, submitted: due, objective, left })
 }
 
+/// When a step that found no capacity is tried again, if this many others of the pass found none
+/// before it. What becomes free goes to those first, and a try takes the leader's time.
+fn retry_interval(usual: Duration, ahead: usize) -> Duration {
+    let intervals = u32::try_from(ahead).unwrap_or(u32::MAX) / STEPS_PER_RETRY_INTERVAL;
+    usual * intervals.saturating_add(1).min(MAX_RETRY_INTERVALS)
+}
+
 /// Estimated remaining time of a run: from its reported progress if that is enough, otherwise from
 /// its expected duration.
 fn time_left(status: &RunStatus, expected: Duration, now: Timestamp) -> Duration {
