--- a/crates/placement/tests/speeds.rs
+++ b/crates/placement/tests/speeds.rs
@@ -1,7 +1,9 @@
 //! Placement on workers of several speeds, for a cell whose gangs would wait for slow members.
 
 use jobs::{LifeId, ResourceVector, StepRef, WorkerInfo};
-use placement::steps::{plan, Demand, EligibleWorkers, Isolation, Reclaimable, WorkerCapacity};
+use placement::steps::{
+    plan, Demand, EligibleWorkers, Isolation, Reclaimable, Rooms, WorkerCapacity,
+};
 use std::time::Duration;
 
 /// Slowness of each worker, in percent.
@@ -30,6 +32,8 @@
         stop_time: Duration::from_millis(200),
         renewal: Duration::from_millis(500),
         suspect: false,
+        account: None,
+        yields: false,
         by_speed: true,
     }
 }
@@ -47,7 +51,8 @@
     };
     let mut workers: Vec<WorkerCapacity<'_>> = SLOWNESS.iter().enumerate().map(capacity).collect();
     let now = Duration::from_secs(9);
-    let decided = plan(&mut workers, &[], &[demand], now, |_| Reclaimable::default());
+    let decided =
+        plan(&mut workers, &[], &[demand], Rooms::default(), now, |_| Reclaimable::default());
     let lives = decided.placements.iter().flat_map(|p| &p.tasks).map(|(_, life)| *life);
     let mut slowness: Vec<u32> = lives.map(|life| SLOWNESS[life as usize - 1]).collect();
     slowness.sort_unstable();
