--- a/crates/accounts/src/quota.rs
+++ b/crates/accounts/src/quota.rs
@@ -13,6 +13,11 @@
         self.0.get(account).copied().unwrap_or_default()
     }
 
+    /// All accounts that use anything, with what they use, by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&AccountName, &ResourceVector)> {
+        self.0.iter()
+    }
+
     /// Adds what a task that starts will use.
     pub fn take(&mut self, account: &AccountName, need: &ResourceVector) {
         if *need != ResourceVector::default() {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::{Registry, Unit};
-use scheduler::NodeStats;
+use scheduler::{AccountStats, NodeStats};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -16,6 +16,15 @@
     kind: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AccountLabel {
+    account: String,
+    kind: String,
+}
+
+/// Label of all accounts without gauges of their own.
+const OTHER_ACCOUNTS: &str = "(others)";
+
 type LatencyByKind = Family<KindLabel, Histogram, fn() -> Histogram>;
 
 /// A histogram with buckets from 0.5 ms to 8.2 s.
@@ -33,6 +42,7 @@
     sent: Family<KindLabel, Counter>,
     gauges: Family<KindLabel, Gauge>,
     counts: Family<KindLabel, Gauge>,
+    accounts: Family<AccountLabel, Gauge>,
     last_stats: Mutex<NodeStats>,
 }
 
@@ -56,11 +66,25 @@
         registry.register_with_unit("sync", "Time to sync the log", s, syncs.clone());
         registry.register("now", "How this host stands, by kind", gauges.clone());
         registry.register("since_start", "Counts since the start, by kind", counts.clone());
+        let accounts = Family::default();
+        let help = "What the largest accounts have running and waiting, by kind";
+        registry.register("account", help, accounts.clone());
         let sent = Family::default();
         let help = "Bytes queued for other hosts, by kind of message";
         registry.register_with_unit("sent", help, Unit::Bytes, sent.clone());
         let last_stats = Mutex::default();
-        Metrics { registry, calls, orders, advice, syncs, sent, gauges, counts, last_stats }
+        Metrics {
+            registry,
+            calls,
+            orders,
+            advice,
+            syncs,
+            sent,
+            gauges,
+            counts,
+            accounts,
+            last_stats,
+        }
     }
 
     /// Records the latency of a call.
@@ -92,6 +116,23 @@
         *self.last_stats.lock().expect("lock is not poisoned") = stats;
     }
 
+    /// Replaces the gauges of accounts. Those of accounts that are no longer among the largest go.
+    fn set_accounts(&self, stats: &NodeStats) {
+        self.accounts.clear();
+        for AccountStats { account, running_cpu, waiting_steps, quota_waits } in &stats.accounts {
+            let account = if account.is_empty() { OTHER_ACCOUNTS } else { account };
+            for (kind, value) in [
+                ("running_millicores", *running_cpu),
+                ("waiting_steps", *waiting_steps as u64),
+                ("steps_waiting_for_quota", *quota_waits as u64),
+            ] {
+                let labels = AccountLabel { account: account.to_string(), kind: kind.to_string() };
+                let gauge = self.accounts.get_or_create(&labels);
+                gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+            }
+        }
+    }
+
     /// Formats all metrics as text.
     pub fn render(&self) -> String {
         let stats = self.last_stats.lock().expect("lock is not poisoned").clone();
@@ -124,10 +165,12 @@
             ("runs_given_up", stats.lost_runs),
             ("worker_crashes", stats.worker_crashes),
             ("jobs_given_up", stats.jobs_given_up),
+            ("jobs_beyond_quota", stats.beyond_quota),
             ("advice_calls", stats.advice_calls),
         ] {
             set(&self.counts, kind, value);
         }
+        self.set_accounts(&stats);
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("writing to a string does not fail");
         text
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -195,6 +195,7 @@
                     self.plan_due = true;
                 }
                 Effect::BeyondQuota { job, step, ref account } => {
+                    stats.beyond_quota += 1;
                     log_beyond_quota(job, step, account);
                 }
                 Effect::GivenUp { task, crashes } => {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -24,6 +24,7 @@
 //! assert!(node.leads());
 //! ```
 
+mod account_stats;
 mod advice;
 mod call;
 mod calls;
@@ -50,6 +51,7 @@
 mod worker_restart;
 mod zones;
 
+pub use account_stats::AccountStats;
 pub use call::{Answer, Call, WorkerHeartbeat};
 pub use capacity_reports::CapacityReport;
 pub use config::{NodeConfig, NodeConfigBuilder, StartState};
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -1,5 +1,6 @@
 //! The state machine of one host, without I/O.
 
+use crate::account_stats::{account_stats, AccountStats};
 use crate::calls::OpenCall;
 use crate::capacity_reports::CapacityReports;
 use crate::config::{NodeConfig, StartState};
@@ -10,7 +11,7 @@
 use crate::io::{Input, Output};
 use crate::reconfigure::live_voters;
 use consensus::{Config, GroupFormation, InitialMember, JoinRequests, Raft, Restored, Role, Term};
-use jobs::Configuration;
+use jobs::{Configuration, StepRef};
 use std::sync::Arc;
 use std::time::Duration;
 use types::{ExchangeId, HostId, MemberId, SortedMap, Timestamp};
@@ -70,6 +71,10 @@
     pub worker_crashes: u64,
     /// Jobs given up because workers crash under one of their tasks.
     pub jobs_given_up: u64,
+    /// Jobs refused because a step can't run within its account's quota.
+    pub beyond_quota: u64,
+    /// What the largest accounts have running and waiting; only on the leader.
+    pub accounts: Vec<AccountStats>,
 }
 
 /// State machine of one host. The crate documentation describes how a driver uses it.
@@ -366,6 +371,8 @@
             stats.workers = group.state.lives().count();
             if let Some(leader) = &group.leader {
                 stats.ready_steps = leader.ready.len();
+                let waits = |step: &StepRef| leader.quota_waits.contains(step);
+                stats.accounts = account_stats(&group.state, leader.ready.keys(), waits);
                 stats.usable_workers = leader.usable_workers(self.now);
                 stats.unreported_workers = leader.unreported_workers(self.now);
             }
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -18,7 +18,8 @@
 };
 use quotas::Quotas;
 use scheduler::{
-    Answer, Call, Input, Node, NodeConfigBuilder, OrderEnvelope, Output, PeerMessage, StartState,
+    Answer, Call, Input, Node, NodeConfigBuilder, NodeStats, OrderEnvelope, Output, PeerMessage,
+    StartState,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -373,6 +374,12 @@
         self.hosts[i].node.as_ref().is_some_and(|node| node.has_job(job))
     }
 
+    /// Counters and gauges of a host that is up.
+    #[allow(dead_code)] // Not all tests that share this module use it.
+    pub(crate) fn stats(&self, i: usize) -> NodeStats {
+        self.hosts[i].node.as_ref().unwrap().stats()
+    }
+
     /// The group's members as a host knows them.
     pub(crate) fn group_members(&self, i: usize) -> Vec<(String, consensus::Role)> {
         self.hosts[i].node.as_ref().map(Node::members).unwrap_or_default()
--- a/crates/scheduler/tests/world/quotas.rs
+++ b/crates/scheduler/tests/world/quotas.rs
@@ -18,6 +18,8 @@
     sent: BTreeMap<u64, [ResourceVector; NAMES.len()]>,
     /// When each version was acknowledged.
     acknowledged: Vec<(u64, u64)>,
+    /// Quotas of all versions; random ones if `None`.
+    fixed: Option<[ResourceVector; NAMES.len()]>,
     /// Whether the cell learns of no quota, so that it can't keep it.
     withheld: bool,
     /// Number of starts that brought an account to more than three quarters of its quota.
@@ -28,7 +30,14 @@
     pub(crate) fn new(seed: u64, withheld: bool) -> Quotas {
         let rng = fastrand::Rng::with_seed(seed);
         let (sent, acknowledged) = (BTreeMap::new(), Vec::new());
-        Quotas { rng, sent, acknowledged, withheld, nearly_full: 0 }
+        Quotas { rng, sent, acknowledged, fixed: None, withheld, nearly_full: 0 }
+    }
+
+    /// The same quotas in all versions. Accounts have the jobs whose ids leave 0, 1 and 2 when they
+    /// are divided by 3.
+    #[allow(dead_code)] // Not all tests that share this module use it.
+    pub(crate) fn fixed(quotas: [ResourceVector; NAMES.len()]) -> Quotas {
+        Quotas { fixed: Some(quotas), ..Quotas::new(0, false) }
     }
 
     /// Adds accounts to a configuration, with random quotas or without any.
@@ -44,6 +53,7 @@
                 gpu: 0,
             },
         });
+        let quotas = self.fixed.filter(|_| limited).unwrap_or(quotas);
         self.sent.insert(configuration.version, quotas);
         let account = |(name, quota): (&str, ResourceVector)| {
             let told = if self.withheld { ResourceVector::default() } else { quota };
