--- a/crates/scheduler/tests/full_accounts.rs
+++ b/crates/scheduler/tests/full_accounts.rs
@@ -45,7 +45,9 @@
 fn a_full_account_delays_no_other() {
     let mut world = flooded_world();
     world.run_until(FLOOD_AT + 100);
-    [1, 2, 4, 5].map(|job| world.submit_steps(job, job % 2 == 0, tasks(2)));
+    for job in [1, 2, 4, 5] {
+        world.submit_steps(job, job % 2 == 0, tasks(2));
+    }
     world.run_until(FLOOD_AT + WITHOUT_DELAY);
     world.ask_all();
     world.run_until(FLOOD_AT + WITHOUT_DELAY + 20);
