--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -95,6 +95,25 @@
     assert_eq!(raft.confirmed_round(), Some(round));
 }
 
+#[test]
+fn leadership_is_confirmed_as_of_the_start_of_a_round_and_not_of_its_answers() {
+    let ms = Duration::from_millis;
+    let reply = |round| Message::AppendReply { accepted: true, index: 1, round };
+    let mut raft = member(InjectedBug::None, vec![]);
+    elect(&mut raft);
+    assert_eq!(raft.confirmed_at(), None, "nothing is committed in this term yet");
+    receive(&mut raft, 1_150, 3, reply(0));
+    assert_eq!(raft.confirmed_at(), Some(ms(1_102)), "as of the election");
+    raft.tick(ms(1_210));
+    let round = raft.begin_round().unwrap();
+    receive(&mut raft, 1_400, 3, reply(round));
+    assert_eq!(raft.confirmed_at(), Some(ms(1_210)), "as of the round, not of the answer");
+    for millis in (1_450..1_800).step_by(50) {
+        raft.tick(ms(millis));
+    }
+    assert_eq!(raft.confirmed_at(), Some(ms(1_210)), "rounds without answers confirm nothing");
+}
+
 #[test]
 fn members_change_by_one_vote_at_a_time() {
     let mut raft = member(InjectedBug::None, vec![]);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -105,6 +105,7 @@
             ("voters", stats.voters as u64),
             ("live_voters", stats.live_voters as u64),
             ("configuration_version", stats.version),
+            ("configuration_age_ms", stats.configuration_age.map_or(u64::MAX, millis)),
             ("open_calls", stats.open_calls as u64),
             ("open_jobs", stats.open_jobs as u64),
             ("waiting_steps", stats.ready_steps as u64),
@@ -134,6 +135,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn observe(latencies: &LatencyByKind, kind: &str, took: Duration) {
     let labels = KindLabel { kind: kind.to_string() };
     latencies.get_or_create(&labels).observe(took.as_secs_f64());
