--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -79,15 +79,9 @@
         if !spec.gang && !self.advice.has_idle_caller(&advice, now) {
             let tasks = state.job(step.job)?.step(step)?.waiting().count() * RENEWALS_PER_TASK;
             let count = tasks.saturating_sub(lives.len()).min(extra_renewals(&advice));
-            lives.extend(self.further_renewals(
-                step,
-                &spec.charge(),
-                &lives,
-                count,
-                workers,
-                &advice,
-                now,
-            ));
+            let aged = self.aged_tickets(step, &spec.charge(), workers, &advice, now);
+            let further = aged.into_iter().filter(|life| !lives.contains(life)).take(count);
+            lives.extend(further.collect::<Vec<_>>());
         }
         let priority = self.call_priority(step, now);
         self.begin_advice_call(state, step, lives, priority, now)
@@ -95,20 +89,17 @@
 
     /// Workers that may run the step and whose tickets have aged, those with the most free capacity
     /// first.
-    fn further_renewals(
+    fn aged_tickets(
         &self,
         step: StepRef,
         need: &ResourceVector,
-        chosen: &[LifeId],
-        count: usize,
         workers: &[WorkerCapacity<'_>],
         advice: &AdvicePolicy,
         now: Timestamp,
     ) -> Vec<LifeId> {
         let Some(known) = self.advice.step(step) else { return Vec::new() };
-        let aged = known
-            .eligible(advice.ticket_life)
-            .filter(|(life, until)| *until <= now + advice.per_call && !chosen.contains(life));
+        let eligible = known.eligible(advice.ticket_life);
+        let aged = eligible.filter(|(_, until)| *until <= now + advice.per_call);
         let by_free_capacity = aged.filter_map(|(life, _)| {
             let i = workers.binary_search_by_key(&life, |worker| worker.life).ok()?;
             let free = &workers[i].free;
@@ -116,7 +107,7 @@
         });
         let mut found: Vec<_> = by_free_capacity.collect();
         found.sort_unstable();
-        found.into_iter().take(count).map(|Reverse((.., life))| life).collect()
+        found.into_iter().map(|Reverse((.., life))| life).collect()
     }
 
     /// Priority of a call that a step needs to start.
