Admission: a job that could not start in time is refused at once

Cause: everything is accepted until its deadline has made it worthless. Change: accounts::Admission estimates from the work ahead, in seconds of the whole cell, and the measured rate at which waiting work is worked off when a job would start. Beyond its account's rate a job is refused if it can't be on time, within it only if it can't start before three objectives; others' work beyond their rates counts as none, and the account's own share bounds its wait. Nothing is refused while free workers hold what waits ahead and the job, nor before a backlog has lasted 2 s. A host that has sent two copies of a submission answers a refusal as unknown, and a job that is proposed is not refused, so that not run stays true. Counters of refusals by cause, one bounded log line with the estimate. Only where accounts are configured. Conclusion: tests of accounts and scheduler pass. The guard for second copies has no test yet.

--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -17,12 +17,15 @@
 //! ```
 
 mod account;
+mod admission;
 mod key;
+mod meter;
 mod quota;
 mod rate;
 mod shares;
 
 pub use account::{Account, AccountBuilder, Accounts};
+pub use admission::{Admission, Backlog, Candidate, Decision, WorkClass};
 pub use key::KeyDigest;
 pub use quota::Usage;
 pub use rate::Rates;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -121,6 +121,8 @@
         for (kind, value) in [
             ("starts", stats.starts),
             ("jobs_accepted", stats.accepted),
+            ("jobs_refused_over_rate", stats.refused_over_rate),
+            ("jobs_refused_too_late", stats.refused_too_late),
             ("runs_given_up", stats.lost_runs),
             ("worker_crashes", stats.worker_crashes),
             ("jobs_given_up", stats.jobs_given_up),
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -33,6 +33,8 @@
     retry_at: Timestamp,
     /// Whether the call has left this host or was served here, so that it may have taken effect.
     sent: bool,
+    /// How often the call has left this host for a leader.
+    copies: u32,
     /// Follower that the call was sent to instead of the leader.
     follower: Option<HostId>,
 }
@@ -47,8 +49,15 @@
     pub(crate) fn on_call(&mut self, exchange: ExchangeId, call: Call, deadline: Timestamp) {
         self.last_call += 1;
         let id = self.last_call;
-        let open =
-            OpenCall { exchange, call, deadline, retry_at: self.now, sent: false, follower: None };
+        let open = OpenCall {
+            exchange,
+            call,
+            deadline,
+            retry_at: self.now,
+            sent: false,
+            copies: 0,
+            follower: None,
+        };
         self.calls.insert(id, open);
         self.call_by_exchange.insert(exchange, id);
         self.route_call(id);
@@ -92,6 +101,7 @@
             Some(host) => {
                 open.retry_at = now + timeout;
                 open.sent = true;
+                open.copies += 1;
                 self.send(&host, PeerMessage::Call { id, call: Box::new(call) });
             }
             None => {
@@ -183,6 +193,8 @@
     }
 
     pub(crate) fn on_answer(&mut self, id: u64, answer: Result<Answer, Refusal>) {
+        let Some(open) = self.calls.get(&id) else { return };
+        let answer = answer.map_err(|r| Node::weaken_refusal(&open.call, open.copies, r));
         self.answer(Origin::Own(id), answer);
     }
 
@@ -197,6 +209,7 @@
             open.retry_at = now + LEADER_POLL_INTERVAL;
             if let Some(host) = leader.filter(|host| host != from) {
                 open.retry_at = now + CALL_RETRY_INTERVAL;
+                open.copies += 1;
                 let call = Box::new(open.call.clone());
                 self.send(&host, PeerMessage::Call { id, call });
             }
@@ -211,10 +224,13 @@
             Call::Submit { id, queue, request, key } => {
                 let at = self.now;
                 match submission(state, id, &queue, key.as_ref()) {
-                    Submission::New => {
-                        let command = Command::Submit { id, queue, request, at, key };
-                        self.propose_for(origin, command);
-                    }
+                    Submission::New => match self.refusal_of(id, &queue, &request, key.as_ref()) {
+                        Some(refusal) => self.answer(origin, Err(refusal)),
+                        None => {
+                            let command = Command::Submit { id, queue, request, at, key };
+                            self.propose_submission(origin, id, command);
+                        }
+                    },
                     Submission::Known => self.answer(origin, Ok(Answer::Done)),
                     Submission::Refused(reply) => self.answer(origin, answer_from_reply(reply)),
                 }
@@ -271,7 +287,7 @@
     }
 
     /// Proposes a command and answers the call once it is applied.
-    fn propose_for(&mut self, origin: Origin, command: Command) {
+    pub(crate) fn propose_for(&mut self, origin: Origin, command: Command) {
         if !self.propose(&command, OnApplied::Answer(origin.clone())) {
             self.redirect(origin);
         }
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -1,6 +1,7 @@
 //! Volatile state of the leader: sessions with workers, advice, and the steps that wait for
 //! placement.
 
+use crate::admission::Submissions;
 use crate::config::NodeConfig;
 use crate::fairness::Fairness;
 use crate::job_log::{hex, kind_name, log_given_up, log_job_over, log_runs_lost, objective_ms};
@@ -65,6 +66,7 @@
     pub(crate) scheduled: Vec<JobId>,
     pub(crate) speeds: Speeds,
     pub(crate) fairness: Fairness,
+    pub(crate) submissions: Submissions,
     /// Longest time that a worker may take to stop a run.
     pub(crate) stop_time: Duration,
     /// Workers whose lives ended in this step, with tasks that their next lives may still start.
@@ -105,6 +107,7 @@
             scheduled: Vec::new(),
             speeds: Speeds::default(),
             fairness: Fairness::new(now),
+            submissions: Submissions::default(),
             stop_time: cfg.stop_time,
             ended_lives: Vec::new(),
             zones: Zones::default(),
@@ -188,7 +191,7 @@
         for effect in effects {
             match *effect {
                 Effect::Configured => self.plan_due = true,
-                Effect::Accepted(id) => self.on_accepted(state, id, stats),
+                Effect::Accepted(id) => self.on_accepted(state, id, stats, now),
                 Effect::Ready(step) => {
                     self.add_ready(state, step);
                     self.plan_due = true;
@@ -302,9 +305,11 @@
         }
     }
 
-    fn on_accepted(&mut self, state: &State, id: JobId, stats: &mut NodeStats) {
+    fn on_accepted(&mut self, state: &State, id: JobId, stats: &mut NodeStats, now: Timestamp) {
         stats.accepted += 1;
+        self.submissions.record_accepted(id);
         let Some(job) = state.job(id) else { return };
+        self.fairness.record_accepted(state, job, now);
         let request = job.request.as_ref();
         let policy = state.policy(job.queue);
         log::info!(job = hex(id).as_str(), queue = policy.name.as_str(),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -24,6 +24,7 @@
 //! assert!(node.leads());
 //! ```
 
+mod admission;
 mod advice;
 mod call;
 mod calls;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -64,6 +64,10 @@
     pub advice_calls: u64,
     /// Jobs accepted while this process was the leader.
     pub accepted: u64,
+    /// Jobs beyond their account's rate that were refused because the cell was full.
+    pub refused_over_rate: u64,
+    /// Jobs within their account's rate that were refused because they could not start in time.
+    pub refused_too_late: u64,
     /// Runs given up because their workers never reported an end.
     pub lost_runs: u64,
     /// Crashes of workers.
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -140,6 +140,7 @@
             calls.extend(self.next_advice_call(state, *step, &workers, now));
         }
         let placements = self.limit_to_one_command(decided.placements);
+        self.fairness.record_placed(state, &placements);
         PassResult { placements, calls, pauses: decided.pauses }
     }
 
