--- a/crates/emulator/examples/heavy_day.rs
+++ b/crates/emulator/examples/heavy_day.rs
@@ -8,12 +8,11 @@
 
 fn args() -> Command {
     Command::new("heavy_day")
-        .arg(
-            Arg::new("sheet")
-                .long("sheet")
-                .default_value("leads")
-                .value_parser(["leads", "certificates"]),
-        )
+        .arg(Arg::new("sheet").long("sheet").default_value("leads").value_parser([
+            "leads",
+            "certificates",
+            "tiles",
+        ]))
         .arg(
             Arg::new("seeds")
                 .long("seeds")
@@ -21,6 +20,10 @@
                 .value_parser(clap::value_parser!(u64)),
         )
         .arg(Arg::new("leader-loss").long("leader-loss").action(ArgAction::SetTrue))
+        .arg(Arg::new("flood").long("flood").action(ArgAction::SetTrue))
+        .arg(Arg::new("burst").long("burst").action(ArgAction::SetTrue))
+        .arg(Arg::new("calm").long("calm").action(ArgAction::SetTrue))
+        .arg(Arg::new("no-accounts").long("no-accounts").action(ArgAction::SetTrue))
         .arg(Arg::new("zone-cut").long("zone-cut").action(ArgAction::SetTrue))
         .arg(
             Arg::new("shrink")
@@ -47,13 +50,23 @@
     let value = |name: &str| *args.get_one::<u64>(name).expect("every argument has a default");
     let mut scenario = match args.get_one::<String>("sheet").map(String::as_str) {
         Some("certificates") => Scenario::certificate_cluster(),
+        Some("tiles") => Scenario::tile_cell(),
         _ => Scenario::lead_desk(),
     };
     scenario =
         scenario.scaled_down(*args.get_one::<f64>("shrink").expect("every argument has a default"));
     scenario.event_cost = Duration::from_micros(value("event-us"));
     scenario.arrival_period = Duration::from_secs(value("seconds"));
-    let disturbances = if args.get_flag("zone-cut") {
+    if args.get_flag("no-accounts") {
+        scenario.accounts_configured = false;
+    }
+    let disturbances = if args.get_flag("flood") {
+        Disturbances::with_flood(0)
+    } else if args.get_flag("burst") {
+        Disturbances::with_burst_of_all(scenario.queues.len())
+    } else if args.get_flag("calm") {
+        Disturbances::default()
+    } else if args.get_flag("zone-cut") {
         Disturbances::with_zone_partition()
     } else if args.get_flag("leader-loss") {
         Disturbances::with_leader_loss()
@@ -78,6 +91,12 @@
                 q.start_delay_ms.1
             );
         }
+        for a in &summary.accounts {
+            println!(
+                "# seed {seed}: {} owed {} on time {} late {} refused {} worth {:.3}",
+                a.name, a.owed, a.on_time, a.late, a.refused, a.worth
+            );
+        }
         let by_second = summary.queues.last().map(|q| q.by_second.clone()).unwrap_or_default();
         let late: Vec<u32> = by_second.iter().map(|(count, on_time)| count - on_time).collect();
         println!("# seed {seed}: late short jobs by second of arrival: {late:?}");
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert!(summary.queues.iter().map(|queue| queue.expected).sum::<u32>() > 0);
 //! ```
 
+mod accounts;
 mod advice;
 mod heartbeats;
 mod leader_loss;
@@ -27,7 +28,7 @@
 mod summary;
 mod worker;
 
-pub use load::{Arrival, Burst, Disturbances, ZonePartition};
-pub use scenario::{LogNormal, QueueProfile, Scenario};
+pub use load::{Arrival, Burst, Disturbances, Flood, WeightChange, ZonePartition};
+pub use scenario::{AccountProfile, LogNormal, QueueProfile, Scenario};
 pub use simulation::simulate;
-pub use summary::{QueueSummary, Summary};
+pub use summary::{AccountSummary, QueueSummary, Summary};
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -31,6 +31,30 @@
     pub duration: Duration,
 }
 
+/// A period in which one account sends more jobs than usual, in all queues alike.
+#[derive(Clone, Copy, Debug)]
+pub struct Flood {
+    /// Index of the account in the scenario.
+    pub account: usize,
+    /// When the flood begins, from the start of the arrival period.
+    pub at: Duration,
+    /// How long it lasts.
+    pub duration: Duration,
+    /// Factor on the account's usual rate.
+    pub rate_factor: f64,
+}
+
+/// A change of the weight of one account.
+#[derive(Clone, Copy, Debug)]
+pub struct WeightChange {
+    /// Index of the account in the scenario.
+    pub account: usize,
+    /// When the new configuration is sent, from the start of the arrival period.
+    pub at: Duration,
+    /// Factor on the weight.
+    pub factor: f64,
+}
+
 /// Bursts and network partitions of a simulation.
 #[derive(Clone, Debug, Default)]
 pub struct Disturbances {
@@ -38,6 +62,10 @@
     pub bursts: Vec<Burst>,
     /// A period in which a zone is unreachable.
     pub zone_partition: Option<ZonePartition>,
+    /// A period in which one account sends more than usual. The other jobs stay the same.
+    pub flood: Option<Flood>,
+    /// A change of one account's weight.
+    pub weight_change: Option<WeightChange>,
     /// When the leader is lost; it is replaced by one that knows only the replicated state.
     pub leader_loss: Option<Duration>,
 }
@@ -62,6 +90,20 @@
         Disturbances { leader_loss, ..Disturbances::default() }
     }
 
+    /// One account sends 7.5 times as many jobs as usual for 6.5 s after 8 s.
+    pub fn with_flood(account: usize) -> Disturbances {
+        let (at, duration) = (Duration::from_secs(8), Duration::from_millis(6_500));
+        let flood = Flood { account, at, duration, rate_factor: 7.5 };
+        Disturbances { flood: Some(flood), ..Disturbances::default() }
+    }
+
+    /// All callers send 1.8 times as many jobs as usual for 6 s after 8 s.
+    pub fn with_burst_of_all(queues: usize) -> Disturbances {
+        let (at, duration) = (Duration::from_secs(8), Duration::from_secs(6));
+        let burst = |queue| Burst { queue, at, duration, rate_factor: 1.8 };
+        Disturbances { bursts: (0..queues).map(burst).collect(), ..Disturbances::default() }
+    }
+
     /// One zone is unreachable for 5 s after 8 s.
     pub fn with_zone_partition() -> Disturbances {
         let partition =
@@ -77,6 +119,8 @@
     pub at: Duration,
     /// Index of its queue in the scenario.
     pub queue: usize,
+    /// Index of its account in the scenario; `None` if there are no accounts.
+    pub account: Option<usize>,
     /// The request of the caller, with estimates.
     pub request: JobRequest,
     /// Actual work of each task of each step, as time on a worker without slowdown.
@@ -117,6 +161,46 @@
         }
     }
     all.sort_by_key(|arrival| arrival.at);
+    assign_accounts(scenario, &mut all, rng.u64(..));
+    if let Some(flood) = disturbances.flood {
+        all.extend(flood_arrivals(scenario, &flood, rng));
+        all.sort_by_key(|arrival| arrival.at);
+    }
+    all
+}
+
+/// Draws the account of each job.
+fn assign_accounts(scenario: &Scenario, all: &mut [Arrival], seed: u64) {
+    if scenario.accounts.is_empty() {
+        return;
+    }
+    let mut rng = fastrand::Rng::with_seed(seed);
+    for arrival in all {
+        let mut left = rng.f64();
+        let chosen = scenario.accounts.iter().position(|account| {
+            left -= account.load_share;
+            left < 0.0
+        });
+        arrival.account = Some(chosen.unwrap_or(scenario.accounts.len() - 1));
+    }
+}
+
+/// Draws the jobs that an account sends in a flood beyond its usual ones.
+fn flood_arrivals(scenario: &Scenario, flood: &Flood, rng: &mut fastrand::Rng) -> Vec<Arrival> {
+    let mut all = Vec::new();
+    for (queue, spec) in scenario.queues.iter().enumerate() {
+        let usual = spec.rate * scenario.accounts[flood.account].load_share;
+        let rate = usual * (flood.rate_factor - 1.0);
+        let mut at = flood.at;
+        loop {
+            at += Duration::from_secs_f64(-rng.f64().max(1e-12).ln() / rate);
+            if at >= flood.at + flood.duration {
+                break;
+            }
+            let arrival = arrival(scenario, spec, queue, at, rng);
+            all.push(Arrival { account: Some(flood.account), ..arrival });
+        }
+    }
     all
 }
 
@@ -156,5 +240,6 @@
         work.push(tasks);
     }
     let request = JobRequest { spec: "text".into(), steps, schedule: None };
-    Arrival { at, queue, request, work, poison: rng.f64() < spec.poison_probability, core_seconds }
+    let poison = rng.f64() < spec.poison_probability;
+    Arrival { at, queue, account: None, request, work, poison, core_seconds }
 }
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -71,11 +71,26 @@
     pub policy: QueuePolicy,
 }
 
+/// A client account and its part of the load.
+#[derive(Clone, Debug)]
+pub struct AccountProfile {
+    /// Name of the account, which is also its key.
+    pub name: String,
+    /// Part of the jobs of each queue that the account usually sends.
+    pub load_share: f64,
+    /// Weight of the account: its share of the cell, and the jobs per second that it may send.
+    pub weight: f64,
+}
+
 /// A deployment and its load.
 #[derive(Clone, Debug)]
 pub struct Scenario {
     /// Queues of the deployment.
     pub queues: Vec<QueueProfile>,
+    /// Client accounts; empty if callers need none.
+    pub accounts: Vec<AccountProfile>,
+    /// Whether the scheduler knows the accounts. If not, it serves them as one.
+    pub accounts_configured: bool,
     /// Number of workers.
     pub workers: usize,
     /// Capacity of each worker.
@@ -182,6 +197,8 @@
         };
         Scenario {
             queues: vec![matching, sync, quote],
+            accounts: Vec::new(),
+            accounts_configured: false,
             workers: 350,
             capacity: ResourceVector { cpu: 32_000, memory: 131_072, gpu: 0 },
             slowdowns: vec![1.0, 1.0, 1.3],
@@ -238,6 +255,70 @@
         }
     }
 
+    /// Tiles from radar sweeps on 350 small workers: wide reprocessing gangs, archive rebuilds whose
+    /// estimates are rough, and urgent forecasts, for 20 accounts, a few of them large.
+    pub fn tile_cell() -> Scenario {
+        let leads = Scenario::lead_desk();
+        let [matching, sync, quote] = &leads.queues[..] else { unreachable!("three queues") };
+        let reprocess = QueueProfile {
+            name: "reprocess",
+            rate: 4.44,
+            cpu: LogNormal::new(4_500.0, 0.4, 7_600.0),
+            memory: LogNormal::new(4_500.0, 0.5, 9_100.0),
+            work_jitter: 0.15,
+            worth: (7.36, 1.47),
+            policy: policy(("reprocess", 1), (2.2, 1_000), (455_000, 6_500), 3),
+            ..matching.clone()
+        };
+        let rebuild = QueueProfile {
+            name: "rebuild",
+            rate: 16.1,
+            work_ms: LogNormal::new(2_200.0, 0.5, 5_400.0),
+            work_jitter: 0.15,
+            estimate_error: 0.9,
+            cpu: LogNormal::new(1_700.0, 0.45, 5_200.0),
+            memory: LogNormal::new(3_200.0, 0.6, 9_600.0),
+            worth: (2.21, 0.442),
+            policy: policy(("rebuild", 2), (4.0, 3_000), (104_000, 1_430), 4),
+            ..sync.clone()
+        };
+        let forecast = QueueProfile {
+            name: "forecast",
+            rate: 66.3,
+            work_ms: LogNormal::new(1_000.0, 0.5, 2_500.0),
+            estimate_error: 0.5,
+            cpu: LogNormal::new(2_500.0, 0.45, 7_400.0),
+            memory: LogNormal::new(3_600.0, 0.6, 11_000.0),
+            worth: (0.431, 0.0862),
+            policy: policy(("forecast", 0), (1.5, 300), (14_300, 208), 2),
+            ..quote.clone()
+        };
+        let scenario = Scenario {
+            queues: vec![reprocess, rebuild, forecast],
+            capacity: ResourceVector { cpu: 16_000, memory: 32_768, gpu: 0 },
+            workers_per_rack: 8,
+            advice_callers: 40,
+            ..leads
+        };
+        scenario.with_accounts(20)
+    }
+
+    /// Divides the load among `count` accounts. The share of each falls with its place, so that a
+    /// few are large. Each may send a third more than it usually does.
+    pub fn with_accounts(mut self, count: usize) -> Scenario {
+        let size = |i: usize| 1.0 / (i as f64 + 1.0).powf(1.2);
+        let total: f64 = (0..count).map(size).sum();
+        let rate: f64 = self.queues.iter().map(|queue| queue.rate).sum();
+        let account = |i: usize| AccountProfile {
+            name: format!("account-{i:02}"),
+            load_share: size(i) / total,
+            weight: (rate * size(i) / total * 4.0 / 3.0).max(1.0),
+        };
+        self.accounts = (0..count).map(account).collect();
+        self.accounts_configured = true;
+        self
+    }
+
     /// Divides the number of workers and the job rates by `factor`. The jobs keep their size.
     pub fn scaled_down(mut self, factor: f64) -> Scenario {
         self.workers = ((self.workers as f64 / factor).ceil() as usize).max(1);
@@ -245,6 +326,9 @@
         for queue in &mut self.queues {
             queue.rate /= factor;
         }
+        for account in &mut self.accounts {
+            account.weight /= factor;
+        }
         self
     }
 }
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -1,12 +1,14 @@
 //! The event loop: a leader that runs the real [`Node`], and events for workers, callers, other
 //! hosts and the network.
 
+use crate::accounts::{configured, key};
 use crate::advice::{is_eligible, AdviceService};
 use crate::heartbeats::FollowerReport;
-use crate::load::{arrivals, Arrival, Disturbances, ZonePartition, WARMUP};
+use crate::load::{arrivals, Arrival, Disturbances, WeightChange, ZonePartition, WARMUP};
 use crate::scenario::Scenario;
 use crate::summary::{summarize, JobTimes, Summary};
 use crate::worker::Worker;
+use ::accounts::Accounts;
 use dispatch::SessionConfig;
 use jobs::{
     Configuration, EndKind, JobRequest, Phase, QueueAddress, RunNumber, ServicePolicy, StepRef,
@@ -18,7 +20,7 @@
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
-use types::{HostId, JobId, SortedMap, Timestamp};
+use types::{ExchangeId, HostId, JobId, SortedMap, Timestamp};
 
 /// Address of the leader, which is the only member of the group.
 pub(crate) const LEADER: &str = "10.0.0.1";
@@ -64,6 +66,8 @@
     pub(crate) job_times: Vec<JobTimes>,
     /// Submitted jobs that have not ended, with their index in `arrivals`.
     pub(crate) open_jobs: SortedMap<JobId, usize>,
+    /// Submissions, by the number of the call, with the index of the job in `arrivals`.
+    pub(crate) submissions: SortedMap<ExchangeId, usize>,
     pub(crate) node: Node,
     pub(crate) now: Timestamp,
     /// Scheduled events by time; the number keeps events of the same time in order.
@@ -99,6 +103,12 @@
     if let Some(at) = disturbances.leader_loss {
         simulation.schedule_at(WARMUP + at, Event::LeaderLoss);
     }
+    if let Some(change) = disturbances.weight_change {
+        let call = Call::Configure(Box::new(configuration(scenario, Some(&change))));
+        simulation.last_call += 1;
+        let input = Input::Call(simulation.last_call, call, WARMUP + scenario.arrival_period);
+        simulation.schedule_at(WARMUP + change.at, Event::Input(input));
+    }
     simulation.run_until(WARMUP + scenario.arrival_period + scenario.cooldown);
     simulation.finish()
 }
@@ -107,11 +117,14 @@
     QueueAddress { host: "q.example".into(), prefix: format!("/{}/", scenario.queues[queue].name) }
 }
 
-fn configuration(scenario: &Scenario) -> Configuration {
+fn configuration(scenario: &Scenario, change: Option<&WeightChange>) -> Configuration {
     let queue = |i: usize| (address(scenario, i), scenario.queues[i].policy.clone());
     let service = scenario.queues[0].policy.service.clone();
+    let known = scenario.accounts_configured;
+    let accounts = if known { configured(scenario, change) } else { Accounts::default() };
     Configuration {
-        version: 1,
+        version: if change.is_some() { 2 } else { 1 },
+        accounts,
         queues: (0..scenario.queues.len()).map(queue).collect(),
         services: vec![ServicePolicy { name: service, ..ServicePolicy::default() }],
         ..Configuration::default()
@@ -146,6 +159,7 @@
             arrivals,
             zone_partition: None,
             open_jobs: SortedMap::default(),
+            submissions: SortedMap::default(),
             node,
             now: Duration::ZERO,
             events: BTreeMap::new(),
@@ -166,7 +180,7 @@
 
     fn schedule_initial_events(&mut self) {
         self.schedule_at(Duration::ZERO, Event::Step);
-        let configuration = Box::new(configuration(self.scenario));
+        let configuration = Box::new(configuration(self.scenario, None));
         self.last_call += 1;
         let call = Call::Configure(configuration);
         self.schedule_at(
@@ -296,6 +310,10 @@
                     Event::Input(Input::Peer(host, answer)),
                 );
             }
+            Output::Answer(exchange, Err(refusal)) => self.read_refusal(exchange, &refusal),
+            Output::Answer(exchange, Ok(_)) => {
+                self.submissions.remove(&exchange);
+            }
             _ => {}
         }
     }
@@ -326,7 +344,9 @@
         let request: Box<JobRequest> = Box::new(self.arrivals[i].request.clone());
         let queue = address(self.scenario, self.arrivals[i].queue);
         self.last_call += 1;
-        let call = Call::Submit { id, queue, request, key: None };
+        let key = key(self.scenario, &self.arrivals[i]);
+        let call = Call::Submit { id, queue, request, key };
+        self.submissions.insert(self.last_call, i);
         let deadline = self.now + Duration::from_secs(3);
         self.schedule_after(
             NETWORK_DELAY * 3,
@@ -356,6 +376,7 @@
         let total = cores * (self.scenario.arrival_period + self.scenario.cooldown).as_secs_f64();
         Summary {
             queues: totals.queues,
+            accounts: totals.accounts,
             worth: totals.worth,
             advice_time: self.advice.total_time,
             advice_calls: self.advice.calls,
--- a/crates/emulator/src/summary.rs
+++ b/crates/emulator/src/summary.rs
@@ -1,7 +1,8 @@
 //! Results of a simulation.
 
+use crate::accounts::owed;
 use crate::load::{Arrival, WARMUP};
-use crate::scenario::Scenario;
+use crate::scenario::{AccountProfile, Scenario};
 use std::time::Duration;
 
 /// A late job still has value up to this multiple of its objective; after that it is worth
@@ -31,11 +32,30 @@
     pub by_second: Vec<(u32, u32)>,
 }
 
+/// Results of one account. Only jobs within its rate count.
+#[derive(Clone, Debug, Default)]
+pub struct AccountSummary {
+    /// Name of the account.
+    pub name: String,
+    /// Submitted jobs within the rate that are expected to complete.
+    pub owed: u32,
+    /// Jobs that completed within their objective.
+    pub on_time: u32,
+    /// Jobs that completed within three times their objective, but not on time.
+    pub late: u32,
+    /// Jobs whose callers gave up after refusals.
+    pub refused: u32,
+    /// Worth of the completed jobs as a fraction of the worth of all jobs completed on time.
+    pub worth: f64,
+}
+
 /// Results of a simulation.
 #[derive(Clone, Debug, Default)]
 pub struct Summary {
     /// Results of each queue.
     pub queues: Vec<QueueSummary>,
+    /// Results of each account; empty if there are none.
+    pub accounts: Vec<AccountSummary>,
     /// Worth of the completed jobs as a fraction of the worth of all jobs completed on time, over
     /// all queues.
     pub worth: f64,
@@ -68,6 +88,17 @@
     pub(crate) started: Option<Duration>,
     /// When its caller could see that it was complete; `None` if it did not complete.
     pub(crate) completed: Option<Duration>,
+    /// How often its caller was refused.
+    pub(crate) refusals: u32,
+}
+
+impl AccountSummary {
+    fn count(&mut self, credit: f64, on_time: bool, times: &JobTimes) {
+        self.owed += 1;
+        self.on_time += u32::from(on_time);
+        self.late += u32::from(!on_time && credit > 0.0);
+        self.refused += u32::from(times.refusals > 0 && times.started.is_none());
+    }
 }
 
 impl QueueSummary {
@@ -104,10 +135,22 @@
     job_times: &[JobTimes],
 ) -> Summary {
     let mut summary = Summary::default();
+    let owed = owed(scenario, arrivals);
+    let account = |profile: &AccountProfile| AccountSummary {
+        name: profile.name.clone(),
+        ..AccountSummary::default()
+    };
+    summary.accounts = scenario.accounts.iter().map(account).collect();
+    let mut account_worth = vec![(0.0, 0.0); summary.accounts.len()];
     let (mut available_total, mut earned_total) = (0.0, 0.0);
     for (q, queue) in scenario.queues.iter().enumerate() {
-        let mut jobs: Vec<(&Arrival, &JobTimes)> =
-            arrivals.iter().zip(job_times).filter(|(a, _)| a.queue == q && !a.poison).collect();
+        let mut jobs: Vec<(&Arrival, &JobTimes)> = arrivals
+            .iter()
+            .zip(job_times)
+            .zip(&owed)
+            .filter(|((a, _), owed)| a.queue == q && !a.poison && **owed)
+            .map(|(job, _)| job)
+            .collect();
         jobs.sort_by(|a, b| b.0.core_seconds.total_cmp(&a.0.core_seconds));
         let mean = jobs.iter().map(|(a, _)| a.core_seconds).sum::<f64>() / jobs.len().max(1) as f64;
         let mut entry = QueueSummary {
@@ -124,6 +167,11 @@
             let (credit, on_time) = credit(scenario, arrival, times);
             available += weight;
             earned += weight * credit;
+            if let Some(i) = arrival.account {
+                summary.accounts[i].count(credit, on_time, times);
+                account_worth[i].0 += weight * credit;
+                account_worth[i].1 += weight;
+            }
             entry.on_time += u32::from(on_time);
             entry.count_second(arrival.at.saturating_sub(WARMUP), on_time);
             entry.late += u32::from(!on_time && credit > 0.0);
@@ -141,6 +189,9 @@
         earned_total += earned;
         summary.queues.push(entry);
     }
+    for (account, (earned, owed)) in summary.accounts.iter_mut().zip(account_worth) {
+        account.worth = earned / f64::max(owed, 1e-9);
+    }
     summary.worth = earned_total / f64::max(available_total, 1e-9);
     summary
 }
