--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -108,11 +108,9 @@
         let claimed = self.live_claims(state, now);
         for (step, urgency, yields) in steps {
             match self.demand(state, step, &urgency, now) {
-                Some(demand) if yields => {
-                    let demand = Demand { yields, ..demand };
-                    demands.extend(split_suspects(state, demand));
+                Some(demand) => {
+                    demands.extend(split_suspects(state, Demand { yields, ..demand }));
                 }
-                Some(demand) => demands.extend(split_suspects(state, demand)),
                 None => {
                     self.schedule_retry(step, now + ADVICE_RETRY_INTERVAL);
                     calls.extend(self.next_advice_call(state, step, &workers, now));
