--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -17,13 +17,16 @@
 //! ```
 
 mod account;
+mod admission;
 mod admittance;
 mod key;
+mod meter;
 mod quota;
 mod rate;
 mod shares;
 
 pub use account::{Account, AccountBuilder, Accounts, AccountsDigest};
+pub use admission::{Admission, Backlog, Candidate, Decision, WorkClass};
 pub use admittance::{Admittance, Claim, Freshness};
 pub use key::KeyDigest;
 pub use quota::Usage;
--- a/crates/emulator/src/crowded.rs
+++ b/crates/emulator/src/crowded.rs
@@ -62,7 +62,7 @@
 impl Disturbances {
     /// 2.3 times the usual rate in the second queue for 6 s after 3 s, then 1.5 times the rate in
     /// all queues for 5 s, and the bursts of [`Disturbances::with_bursts`].
-    pub fn with_flood() -> Disturbances {
+    pub fn with_queue_flood() -> Disturbances {
         let s = Duration::from_secs;
         let burst = |queue, at, duration, rate_factor| Burst {
             queue,
--- a/crates/emulator/tests/crowded.rs
+++ b/crates/emulator/tests/crowded.rs
@@ -9,7 +9,7 @@
 /// the choice: the steps that could start then wait for the service longer than it takes to answer.
 #[test]
 fn calls_of_a_flood_wait_in_line_no_longer_than_they_take() {
-    let summary = simulate(&Scenario::tile_plant(), &Disturbances::with_flood(), SEED);
+    let summary = simulate(&Scenario::tile_plant(), &Disturbances::with_queue_flood(), SEED);
     println!("seed {SEED}: {summary:?}");
     for (queue, usage) in &summary.advice_usage {
         let total = usage.total();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -25,6 +25,7 @@
 //! ```
 
 mod account_stats;
+mod admission;
 mod advice;
 mod advice_report;
 mod call;
