Drop a gang's slowest worker with any end of a member

Cause: after a failed or broken member the entry stayed until the limit of 4,096 was reached. Change: it is removed before the kind of the end is looked at.

--- a/crates/scheduler/src/learning.rs
+++ b/crates/scheduler/src/learning.rs
@@ -90,6 +90,7 @@
 
     /// Learns from a run that ended. Failed runs and those that resumed tell nothing.
     fn record(&mut self, session: &Session, status: &RunStatus, kind: EndKind, now: Timestamp) {
+        let gang = self.gangs.remove(&(status.task.step, status.run));
         let censored = match kind {
             EndKind::Done => false,
             EndKind::Stopped | EndKind::Lapsed => true,
@@ -97,7 +98,6 @@
         };
         let (Some(began), Some(traits)) = (status.working_since, status.traits) else { return };
         let RunTraits { queue, estimate: declared, from_scratch, .. } = traits;
-        let gang = self.gangs.remove(&(status.task.step, status.run));
         if !self.enabled || (!from_scratch && (gang.is_none() || censored)) {
             return;
         }
