What a host knows of the configuration's age is in one file

Cause: node.rs had grown by what belongs to confirmations. Change: has_recent_configuration and is_outdated moved, unchanged.

--- a/crates/scheduler/src/confirmation.rs
+++ b/crates/scheduler/src/confirmation.rs
@@ -9,6 +9,7 @@
 use crate::node::Node;
 use accounts::{Admittance, Freshness, KeyDigest};
 use jobs::{Configuration, QueueAddress};
+use std::time::Duration;
 use types::{Timestamp, Version};
 
 /// Limit on the remembered confirmations of configurations that this host does not have yet.
@@ -60,6 +61,18 @@
         self.confirmed_at_version(self.configuration.version)
     }
 
+    /// Whether the configuration of this host is recent: it leads, or has heard the leader in the
+    /// last 2 s and knows of no newer one.
+    pub fn has_recent_configuration(&self) -> bool {
+        let heard = self.peers.leader_heard_within(self.now, Duration::from_secs(2));
+        self.leads() || (heard && !self.peers.is_behind(self.configuration.version))
+    }
+
+    /// Whether the group is known to have a newer configuration than this host.
+    pub fn is_outdated(&self) -> bool {
+        !self.leads() && self.peers.is_behind(self.configuration.version)
+    }
+
     fn confirmed_at_version(&self, held: Version) -> Option<Timestamp> {
         match self.group.as_ref().filter(|group| group.leads()) {
             Some(group) => group.raft.confirmed_at(),
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -349,18 +349,6 @@
         in_time && movable && config.votes(group.raft.id())
     }
 
-    /// Whether the configuration of this host is recent: it leads, or has heard the leader in the
-    /// last 2 s and knows of no newer one.
-    pub fn has_recent_configuration(&self) -> bool {
-        let heard = self.peers.leader_heard_within(self.now, Duration::from_secs(2));
-        self.leads() || (heard && !self.peers.is_behind(self.configuration.version))
-    }
-
-    /// Whether the group is known to have a newer configuration than this host.
-    pub fn is_outdated(&self) -> bool {
-        !self.leads() && self.peers.is_behind(self.configuration.version)
-    }
-
     /// Current counters and gauges.
     pub fn stats(&self) -> NodeStats {
         let mut stats = self.stats.clone();
