--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -49,7 +49,7 @@
         (&GOOD.replace("\"service\":\"s\"", "\"service\":\"t\""), "queue r: service t"),
         (&GOOD.replace("3000", "0"), "queue r: its timeout must not be 0"),
         (&GOOD.replace("\"version\":3", "\"version\":0"), "version: must not be 0"),
-        (&GOOD.replace("\"weight\":4", "\"weight\":\"x\""), "line 4"),
+        (&GOOD.replace("\"weight\":4", "\"weight\":\"x\""), "account a: weight: must be a number"),
         (
             &GOOD.replace(
                 "\"tenants\":[",
