--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -50,6 +50,8 @@
     pub work_ms: LogNormal,
     /// Largest deviation of a task's work from the mean of its step, as a fraction of the mean.
     pub work_jitter: f64,
+    /// Probability that a task takes much longer, and how many times as long.
+    pub work_tail: (f64, f64),
     /// Largest deviation of an estimate from the mean work of the step, as a fraction of the mean.
     pub estimate_error: f64,
     /// CPU that a task needs, in thousandths of a core.
@@ -71,11 +73,26 @@
     pub policy: QueuePolicy,
 }
 
+/// A client account and its part of the load.
+#[derive(Clone, Debug)]
+pub struct AccountProfile {
+    /// Name of the account, which is also its key.
+    pub name: String,
+    /// Part of the jobs of each queue that the account usually sends.
+    pub load_share: f64,
+    /// Weight of the account: its share of the cell, and the jobs per second that it may send.
+    pub weight: f64,
+}
+
 /// A deployment and its load.
 #[derive(Clone, Debug)]
 pub struct Scenario {
     /// Queues of the deployment.
     pub queues: Vec<QueueProfile>,
+    /// Client accounts; empty if callers need none.
+    pub accounts: Vec<AccountProfile>,
+    /// Whether the scheduler knows the accounts. If not, it serves them as one.
+    pub accounts_configured: bool,
     /// Number of workers.
     pub workers: usize,
     /// Capacity of each worker.
@@ -99,12 +116,17 @@
     pub commit_latency: Duration,
     /// Processing time of the leader for each input and each output.
     pub event_cost: Duration,
+    /// Whether the estimate of a step is the work of its longest task: the bound of what better
+    /// estimates can gain.
+    pub exact_estimates: bool,
+    /// Whether the scheduler learns run times and speeds.
+    pub learn: bool,
 }
 
 /// Service of all queues and workers.
 const SERVICE: &str = "crunch";
 
-fn policy(
+pub(crate) fn policy(
     (name, priority): (&str, u32),
     (stretch, slack_ms): (f64, u64),
     (call_us, worker_us): (u64, u64),
@@ -137,6 +159,7 @@
             width: LogNormal::new(20.0, 0.8, 120.0),
             work_ms: LogNormal::new(4_000.0, 0.5, 10_000.0),
             work_jitter: 0.3,
+            work_tail: (0.0, 1.0),
             estimate_error: 0.2,
             cpu: LogNormal::new(9_000.0, 0.4, 15_000.0),
             memory: LogNormal::new(18_000.0, 0.5, 37_000.0),
@@ -170,6 +193,7 @@
             width: LogNormal::new(3.2, 0.8, 19.0),
             work_ms: LogNormal::new(640.0, 0.5, 1_600.0),
             work_jitter: 0.15,
+            work_tail: (0.0, 1.0),
             estimate_error: 0.2,
             cpu: LogNormal::new(5_000.0, 0.45, 15_000.0),
             memory: LogNormal::new(14_000.0, 0.6, 43_000.0),
@@ -182,6 +206,8 @@
         };
         Scenario {
             queues: vec![matching, sync, quote],
+            accounts: Vec::new(),
+            accounts_configured: false,
             workers: 350,
             capacity: ResourceVector { cpu: 32_000, memory: 131_072, gpu: 0 },
             slowdowns: vec![1.0, 1.0, 1.3],
@@ -193,6 +219,8 @@
             gang_timeout: Duration::from_secs(4),
             commit_latency: Duration::from_millis(8),
             event_cost: Duration::ZERO,
+            exact_estimates: false,
+            learn: true,
         }
     }
 
@@ -238,6 +266,116 @@
         }
     }
 
+    /// An uneven cell: workers of three speeds, tasks of one step that differ, a long tail, and
+    /// estimates that are off by up to nine tenths, beside wide batches that run at ease.
+    pub fn uneven_cell() -> Scenario {
+        let base = Scenario::certificate_cluster();
+        let [full, review, check] = &base.queues[..] else { unreachable!("three queues") };
+        let work_tail = (0.03, 7.0);
+        let batch = QueueProfile {
+            name: "batch",
+            rate: 4.5,
+            work_ms: LogNormal::new(3_400.0, 0.5, 10_000.0),
+            work_tail,
+            estimate_error: 0.9,
+            policy: policy(("batch", 1), (2.2, 1_000), (442_000, 6_370), 4),
+            ..full.clone()
+        };
+        let merge = QueueProfile {
+            name: "merge",
+            rate: 6.0,
+            work_ms: LogNormal::new(2_900.0, 0.5, 8_700.0),
+            work_jitter: 0.15,
+            work_tail,
+            estimate_error: 0.2,
+            worth: (3.99, 0.798),
+            policy: policy(("merge", 2), (4.0, 3_000), (156_000, 2_340), 3),
+            ..review.clone()
+        };
+        let lookup = QueueProfile {
+            name: "lookup",
+            rate: 90.0,
+            work_ms: LogNormal::new(680.0, 0.5, 2_000.0),
+            work_tail,
+            estimate_error: 0.9,
+            worth: (0.4, 0.08),
+            policy: policy(("lookup", 0), (1.5, 250), (11_700, 169), 3),
+            ..check.clone()
+        };
+        Scenario {
+            queues: vec![batch, merge, lookup],
+            slowdowns: vec![0.6, 1.0, 1.6],
+            workers_per_rack: 8,
+            advice_callers: 49,
+            stop_time: Duration::from_millis(200),
+            ..base
+        }
+    }
+
+    /// Tiles from radar sweeps on 350 small workers: wide reprocessing gangs, archive rebuilds whose
+    /// estimates are rough, and urgent forecasts, for 20 accounts, a few of them large.
+    pub fn tile_cell() -> Scenario {
+        let leads = Scenario::lead_desk();
+        let [matching, sync, quote] = &leads.queues[..] else { unreachable!("three queues") };
+        let reprocess = QueueProfile {
+            name: "reprocess",
+            rate: 4.44,
+            cpu: LogNormal::new(4_500.0, 0.4, 7_600.0),
+            memory: LogNormal::new(4_500.0, 0.5, 9_100.0),
+            work_jitter: 0.15,
+            worth: (7.36, 1.47),
+            policy: policy(("reprocess", 1), (2.2, 1_000), (455_000, 6_500), 3),
+            ..matching.clone()
+        };
+        let rebuild = QueueProfile {
+            name: "rebuild",
+            rate: 16.1,
+            work_ms: LogNormal::new(2_200.0, 0.5, 5_400.0),
+            work_jitter: 0.15,
+            estimate_error: 0.9,
+            cpu: LogNormal::new(1_700.0, 0.45, 5_200.0),
+            memory: LogNormal::new(3_200.0, 0.6, 9_600.0),
+            worth: (2.21, 0.442),
+            policy: policy(("rebuild", 2), (4.0, 3_000), (104_000, 1_430), 4),
+            ..sync.clone()
+        };
+        let forecast = QueueProfile {
+            name: "forecast",
+            rate: 66.3,
+            work_ms: LogNormal::new(1_000.0, 0.5, 2_500.0),
+            estimate_error: 0.5,
+            cpu: LogNormal::new(2_500.0, 0.45, 7_400.0),
+            memory: LogNormal::new(3_600.0, 0.6, 11_000.0),
+            worth: (0.431, 0.0862),
+            policy: policy(("forecast", 0), (1.5, 300), (14_300, 208), 2),
+            ..quote.clone()
+        };
+        let scenario = Scenario {
+            queues: vec![reprocess, rebuild, forecast],
+            capacity: ResourceVector { cpu: 16_000, memory: 32_768, gpu: 0 },
+            workers_per_rack: 8,
+            advice_callers: 40,
+            ..leads
+        };
+        scenario.with_accounts(20)
+    }
+
+    /// Divides the load among `count` accounts. The share of each falls with its place, so that a
+    /// few are large. Each may send a third more than it usually does.
+    pub fn with_accounts(mut self, count: usize) -> Scenario {
+        let size = |i: usize| 1.0 / (i as f64 + 1.0).powf(1.2);
+        let total: f64 = (0..count).map(size).sum();
+        let rate: f64 = self.queues.iter().map(|queue| queue.rate).sum();
+        let account = |i: usize| AccountProfile {
+            name: format!("account-{i:02}"),
+            load_share: size(i) / total,
+            weight: (rate * size(i) / total * 4.0 / 3.0).max(1.0),
+        };
+        self.accounts = (0..count).map(account).collect();
+        self.accounts_configured = true;
+        self
+    }
+
     /// Divides the number of workers and the job rates by `factor`. The jobs keep their size.
     pub fn scaled_down(mut self, factor: f64) -> Scenario {
         self.workers = ((self.workers as f64 / factor).ceil() as usize).max(1);
@@ -245,6 +383,9 @@
         for queue in &mut self.queues {
             queue.rate /= factor;
         }
+        for account in &mut self.accounts {
+            account.weight /= factor;
+        }
         self
     }
 }
--- a/crates/placement/tests/steps.rs
+++ b/crates/placement/tests/steps.rs
@@ -1,9 +1,10 @@
 //! Placement passes over waiting steps: single rules, and a simulated burst of urgent jobs.
 
+use accounts::Standing;
 use jobs::{LifeId, Placement, ResourceVector, StepRef, TaskRef, WorkerInfo};
 use placement::steps::{
-    plan, rank, Demand, EligibleWorkers, Isolation, PausableRun, Reclaimable, StepPlan, Urgency,
-    WorkerCapacity,
+    plan, rank, Demand, EligibleWorkers, Isolation, PausableRun, Reclaimable, Rooms, StepPlan,
+    Urgency, WorkerCapacity,
 };
 use std::time::Duration;
 
@@ -41,6 +42,7 @@
 fn demand(job: u64, tasks: u32, cpu: u64) -> Demand {
     Demand {
         step: step(job),
+        account: None,
         tasks: (0..tasks).collect(),
         need: ResourceVector { cpu, memory: 10, gpu: 0 },
         gang: false,
@@ -57,11 +59,13 @@
         stop_time: Duration::from_millis(200),
         renewal: Duration::from_millis(500),
         suspect: false,
+        yields: false,
+        by_speed: false,
     }
 }
 
 fn run(workers: &mut [WorkerCapacity<'_>], demands: &[Demand]) -> StepPlan {
-    plan(workers, &[], demands, NOW, |_| Reclaimable::default())
+    plan(workers, &[], demands, Rooms::default(), NOW, |_| Reclaimable::default())
 }
 
 fn placed(plan: &StepPlan, job: u64) -> usize {
@@ -155,8 +159,10 @@
         can_wait_for_stop,
         ..demand(1, 1, 3_000)
     };
-    let pauses =
-        |demand| plan(&mut capacities(&infos, &[0]), &[], &[demand], NOW, reclaimable).pauses;
+    let pauses = |demand| {
+        plan(&mut capacities(&infos, &[0]), &[], &[demand], Rooms::default(), NOW, reclaimable)
+            .pauses
+    };
     assert_eq!(pauses(tight(0, true)), [(1, task(0), 1), (1, task(1), 1)]);
     assert_eq!(pauses(tight(2, true)), [], "runs of the same priority are not paused");
     assert_eq!(pauses(tight(0, false)), [], "the step would be late anyway");
@@ -178,7 +184,7 @@
         ("urgent", urgency(0, 100, 2, 1)),
         ("late urgent", urgency(0, 97, 3, 1)),
     ];
-    all.sort_by_key(|(_, urgency)| rank(urgency, s(100)));
+    all.sort_by_key(|(_, urgency)| rank(urgency, &Standing::default(), s(100)));
     let names: Vec<&str> = all.iter().map(|(name, _)| *name).collect();
     assert_eq!(names, ["urgent", "batch", "late urgent", "late batch", "hopeless"]);
 }
@@ -238,7 +244,8 @@
             });
             Reclaimable { pausable: pausable.collect(), ..Reclaimable::default() }
         };
-        let decided = plan(&mut capacities(&infos, &free), &[], &demands, NOW, reclaimable);
+        let decided =
+            plan(&mut capacities(&infos, &free), &[], &demands, Rooms::default(), NOW, reclaimable);
         for (_, task, _) in &decided.pauses {
             let i = running.iter().position(|run| run.1 == task.step.job).expect("it runs");
             let (_, job, ..) = running.remove(i);
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -20,6 +20,7 @@
     pub(crate) revocation_bound: Option<Duration>,
     pub(crate) session: SessionConfig,
     pub(crate) tuning: Tuning,
+    pub(crate) learn: bool,
 }
 
 /// Builds a [`NodeConfig`].
@@ -45,6 +46,7 @@
             revocation_bound: None,
             session: SessionConfig::default(),
             tuning: Tuning::default(),
+            learn: true,
         })
     }
 
@@ -117,6 +119,12 @@
         self
     }
 
+    /// Sets whether run times and speeds of workers are learned from finished runs. Default: yes.
+    pub fn learn(mut self, learn: bool) -> Self {
+        self.0.learn = learn;
+        self
+    }
+
     /// Finishes the configuration.
     pub fn build(self) -> NodeConfig {
         self.0
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -1,10 +1,15 @@
 //! Volatile state of the leader: sessions with workers, advice, and the steps that wait for
 //! placement.
 
+use crate::admission::Submissions;
 use crate::config::NodeConfig;
-use crate::job_log::{hex, kind_name, log_given_up, log_job_over, log_runs_lost, objective_ms};
+use crate::fairness::Fairness;
+use crate::job_log::{
+    hex, kind_name, log_beyond_quota, log_given_up, log_job_over, log_runs_lost, objective_ms,
+};
+use crate::learning::Learning;
 use crate::node::NodeStats;
-use crate::planning::urgency;
+use crate::quota_waits::QuotaWaits;
 use crate::zones::Zones;
 use consensus::Term;
 use dispatch::{AdviceTracker, OrderId, RunTraits, Session};
@@ -18,6 +23,8 @@
 pub(crate) const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum time between two placement passes while steps wait.
 pub(crate) const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(200);
+/// Priority of runs that were started with what others left over: all others may pause them.
+const LOWEST_PRIORITY: u32 = u32::MAX;
 /// Numbers of orders and advice calls of a term start at the term times this.
 const NUMBERS_PER_TERM: u64 = 1 << 32;
 /// Fences of a term start at the term times this; the life is added.
@@ -50,6 +57,8 @@
     /// Earliest time at which a waiting step is tried again; steps without an entry are tried in
     /// the next pass.
     pub(crate) retry_at: SortedMap<StepRef, Timestamp>,
+    /// Steps that wait for room under the quota of their account.
+    pub(crate) quota_waits: QuotaWaits,
     /// Capacity reserved for gangs that don't fit yet, oldest claim first.
     pub(crate) claims: Vec<Claim>,
     /// Whether proposed placements are not applied yet. No pass runs until then.
@@ -58,9 +67,13 @@
     pub(crate) plan_due: bool,
     pub(crate) next_plan: Timestamp,
     pub(crate) next_check: Timestamp,
+    pub(crate) next_advice_report: Timestamp,
     pub(crate) next_trim: Timestamp,
     pub(crate) scheduled: Vec<JobId>,
     pub(crate) speeds: Speeds,
+    pub(crate) fairness: Fairness,
+    pub(crate) learning: Learning,
+    pub(crate) submissions: Submissions,
     /// Longest time that a worker may take to stop a run.
     pub(crate) stop_time: Duration,
     /// Workers whose lives ended in this step, with tasks that their next lives may still start.
@@ -92,14 +105,19 @@
             advice_lives: SortedMap::default(),
             ready: SortedMap::default(),
             retry_at: SortedMap::default(),
+            quota_waits: QuotaWaits::default(),
             claims: Vec::new(),
             placement_in_flight: false,
             plan_due: true,
             next_plan: now,
             next_check: now,
+            next_advice_report: now,
             next_trim: now + Duration::from_secs(60),
             scheduled: Vec::new(),
             speeds: Speeds::default(),
+            fairness: Fairness::new(now),
+            learning: Learning::new(state, cfg, now),
+            submissions: Submissions::default(),
             stop_time: cfg.stop_time,
             ended_lives: Vec::new(),
             zones: Zones::default(),
@@ -183,11 +201,15 @@
         for effect in effects {
             match *effect {
                 Effect::Configured => self.plan_due = true,
-                Effect::Accepted(id) => self.on_accepted(state, id, stats),
+                Effect::Accepted(id) => self.on_accepted(state, id, stats, now),
                 Effect::Ready(step) => {
                     self.add_ready(state, step);
                     self.plan_due = true;
                 }
+                Effect::BeyondQuota { job, step, ref account } => {
+                    stats.beyond_quota += 1;
+                    log_beyond_quota(job, step, account);
+                }
                 Effect::GivenUp { task, crashes } => {
                     stats.jobs_given_up += 1;
                     log_given_up(task, crashes);
@@ -257,6 +279,9 @@
         if let Some(traits) = run_traits(state, task, run) {
             session.set_run_traits(task, run, traits);
         }
+        if state.spec(task.step).is_some_and(|spec| spec.gang) {
+            self.learning.gang_placed(task.step, run, session.worker());
+        }
     }
 
     fn on_freed(
@@ -273,6 +298,9 @@
         if kind == Some(EndKind::Done) {
             self.learn_speed(life, task, run, now);
         }
+        if let Some(kind) = kind {
+            self.learn(life, task, run, kind, now);
+        }
         let Some(session) = self.sessions.get_mut(&life) else { return };
         session.remove_run(task, run);
         match kind {
@@ -291,15 +319,17 @@
     }
 
     fn add_ready(&mut self, state: &State, step: StepRef) {
-        if let Some(urgency) = urgency(state, step, &self.speeds) {
+        if let Some(urgency) = self.urgency(state, step) {
             self.retry_at.remove(&step);
             self.ready.insert(step, urgency);
         }
     }
 
-    fn on_accepted(&mut self, state: &State, id: JobId, stats: &mut NodeStats) {
+    fn on_accepted(&mut self, state: &State, id: JobId, stats: &mut NodeStats, now: Timestamp) {
         stats.accepted += 1;
+        self.submissions.record_accepted(id);
         let Some(job) = state.job(id) else { return };
+        self.fairness.record_accepted(state, job, now);
         let request = job.request.as_ref();
         let policy = state.policy(job.queue);
         log::info!(job = hex(id).as_str(), queue = policy.name.as_str(),
@@ -377,7 +407,7 @@
     let from_start = run == 1 || !spec.checkpoint;
     Some(RunTraits {
         queue: job.queue,
-        priority: state.policy(job.queue).priority,
+        priority: if job.over_rate { LOWEST_PRIORITY } else { state.policy(job.queue).priority },
         need: spec.charge(),
         estimate: spec.estimate,
         from_scratch: alone && from_start && !spec.long_running,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -24,7 +24,10 @@
 //! assert!(node.leads());
 //! ```
 
+mod account_stats;
+mod admission;
 mod advice;
+mod advice_report;
 mod call;
 mod calls;
 mod capacity_reports;
@@ -34,6 +37,7 @@
 mod confirmation;
 mod crashes;
 mod duties;
+mod fairness;
 mod follower_reads;
 mod gossip;
 mod group;
@@ -41,19 +45,23 @@
 mod job_log;
 mod joining;
 mod leader;
+mod learning;
 mod message;
 mod node;
 mod outbox;
 mod planning;
+mod quota_waits;
 mod reconfigure;
 mod votes;
 mod worker_restart;
 mod zones;
 
+pub use account_stats::AccountStats;
 pub use call::{Answer, Call, WorkerHeartbeat};
 pub use capacity_reports::CapacityReport;
 pub use config::{NodeConfig, NodeConfigBuilder, StartState};
 pub use config_changes::{ConfigurationEnd, ConfigurationPart};
+pub use dispatch::{AdviceUsage, CallReason};
 pub use io::{Input, OrderEnvelope, Output};
 pub use message::{Confirmation, HostHeartbeat, PeerMessage, PROTOCOL_VERSION};
 pub use node::{Node, NodeStats};
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -1,5 +1,6 @@
 //! The state machine of one host, without I/O.
 
+use crate::account_stats::{account_stats, AccountStats};
 use crate::calls::OpenCall;
 use crate::capacity_reports::CapacityReports;
 use crate::config::{NodeConfig, StartState};
@@ -11,7 +12,7 @@
 use crate::io::{Input, Output};
 use crate::reconfigure::live_voters;
 use consensus::{Config, GroupFormation, InitialMember, JoinRequests, Raft, Restored, Role, Term};
-use jobs::Configuration;
+use jobs::{Configuration, StepRef};
 use std::sync::Arc;
 use std::time::Duration;
 use types::{ExchangeId, HostId, MemberId, SortedMap, Timestamp};
@@ -66,14 +67,24 @@
     pub ends: [u64; 6],
     /// Calls to the advice service that this process started as the leader.
     pub advice_calls: u64,
+    /// Use of the advice service in the current term; only on the leader.
+    pub advice: dispatch::AdviceUsage,
     /// Jobs accepted while this process was the leader.
     pub accepted: u64,
+    /// Jobs beyond their account's rate that were refused because the cell was full.
+    pub refused_over_rate: u64,
+    /// Jobs within their account's rate that were refused because they could not start in time.
+    pub refused_too_late: u64,
     /// Runs given up because their workers never reported an end.
     pub lost_runs: u64,
     /// Crashes of workers.
     pub worker_crashes: u64,
     /// Jobs given up because workers crash under one of their tasks.
     pub jobs_given_up: u64,
+    /// Jobs refused because a step can't run within its account's quota.
+    pub beyond_quota: u64,
+    /// What the largest accounts have running and waiting; only on the leader.
+    pub accounts: Vec<AccountStats>,
 }
 
 /// State machine of one host. The crate documentation describes how a driver uses it.
@@ -366,7 +377,10 @@
             stats.workers = group.state.lives().count();
             if let Some(leader) = &group.leader {
                 stats.ready_steps = leader.ready.len();
+                let waits = |step: &StepRef| leader.quota_waits.contains(step);
+                stats.accounts = account_stats(&group.state, leader.ready.keys(), waits);
                 stats.usable_workers = leader.usable_workers(self.now);
+                stats.advice = leader.advice_usage();
                 stats.unreported_workers = leader.unreported_workers(self.now);
             }
         }
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -5,11 +5,11 @@
 use crate::job_log::hex;
 use crate::leader::{Leader, MIN_PLAN_INTERVAL};
 use crate::node::Node;
+use crate::quota_waits::{rooms, without_claims};
 use dispatch::{AdviceCall, RunStatus, RunTraits};
 use jobs::{Command, LifeId, Placement, Progress, RunNumber, State, StepRef, TaskRef};
-use placement::speeds::Speeds;
 use placement::steps::{
-    plan, rank, Claim, Demand, EligibleWorkers, PausableRun, Reclaimable, StepPlan, Urgency,
+    plan, rank, Claim, Demand, EligibleWorkers, PausableRun, Rank, Reclaimable, StepPlan, Urgency,
     WorkerCapacity,
 };
 use std::cmp::Reverse;
@@ -35,6 +35,11 @@
 const TASK_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// A gang that waits for capacity is tried again after this time. The search for a gang is wider.
 const GANG_RETRY_INTERVAL: Duration = Duration::from_millis(60);
+/// Steps that found no capacity and lie behind this many others of the same pass are tried again
+/// after twice the usual time, behind twice as many after three times that, and so on.
+const STEPS_PER_RETRY_INTERVAL: u32 = 20;
+/// Largest multiple of the usual time after which a step is tried again.
+const MAX_RETRY_INTERVALS: u32 = 10;
 /// Added to a run's estimated remaining time: the time until its end is committed.
 const END_MARGIN: Duration = Duration::from_millis(60);
 /// Added to the duration of a call for new tickets: the time for messages between the hosts.
@@ -99,15 +104,25 @@
     fn plan(&mut self, state: &State, callers: &[HostId], now: Timestamp) -> PassResult {
         self.advice.set_callers(callers);
         self.ready.retain(|step, _| state.job(step.job).is_some_and(|job| job.is_ready(*step)));
-        self.retry_at.retain(|step, _| self.ready.contains_key(step));
+        let rooms = rooms(state, self.ready.keys());
+        let beside_claims = without_claims(state, &rooms, &self.claims);
+        let claimed = |step: &&StepRef| self.claims.iter().any(|claim| claim.step == **step);
+        let unclaimed = self.ready.keys().filter(|step| !claimed(step));
+        self.quota_waits.update(state, unclaimed, &beside_claims);
+        let waits = |step: &StepRef| self.quota_waits.contains(step);
+        self.retry_at.retain(|step, _| self.ready.contains_key(step) && !waits(step));
         let mut workers = self.worker_capacities(state, now);
+        self.set_fastest(workers.iter().map(|worker| worker.slowness));
         let mut calls = Vec::new();
         let mut demands = Vec::new();
-        let steps = self.due_steps(now);
+        self.fairness.refresh(state, &self.ready, &workers, now);
+        let steps = self.due_steps(state, now);
         let claimed = self.live_claims(state, now);
-        for (step, urgency) in steps {
+        for (step, urgency, yields) in steps {
             match self.demand(state, step, &urgency, now) {
-                Some(demand) => demands.extend(split_suspects(state, demand)),
+                Some(demand) => {
+                    demands.extend(split_suspects(state, Demand { yields, ..demand }));
+                }
                 None => {
                     self.schedule_retry(step, now + ADVICE_RETRY_INTERVAL);
                     calls.extend(self.next_advice_call(state, step, &workers, now));
@@ -118,38 +133,43 @@
         demands.sort_by_key(|demand| !demand.suspect);
         let suspect = |step: &StepRef| demands.iter().any(|d| d.suspect && d.step == *step);
         let decided =
-            plan(&mut workers, &claimed, &demands, now, |life| self.reclaimable(life, now));
+            plan(&mut workers, &claimed, &demands, rooms, now, |life| self.reclaimable(life, now));
         self.update_claims(&decided, now);
         for (step, lives) in decided.renew {
             self.schedule_retry(step, now + ADVICE_RETRY_INTERVAL);
-            calls.extend(self.begin_advice_call(state, step, lives, now));
+            calls.extend(self.next_renewal(state, step, lives, &workers, now));
         }
-        for step in &decided.unplaced {
+        for (ahead, step) in decided.unplaced.iter().enumerate() {
             let gang = state.spec(*step).is_some_and(|spec| spec.gang);
             if !decided.waiting.contains(step) && !suspect(step) {
-                self.schedule_retry(
-                    *step,
-                    now + if gang { GANG_RETRY_INTERVAL } else { TASK_RETRY_INTERVAL },
-                );
+                let usual = if gang { GANG_RETRY_INTERVAL } else { TASK_RETRY_INTERVAL };
+                self.schedule_retry(*step, now + retry_interval(usual, ahead));
             }
             calls.extend(self.next_advice_call(state, *step, &workers, now));
         }
         let placements = self.limit_to_one_command(decided.placements);
+        self.fairness.record_placed(state, &placements);
         PassResult { placements, calls, pauses: decided.pauses }
     }
 
-    /// Waiting steps without a claim whose retry time has come, the most urgent first.
-    fn due_steps(&self, now: Timestamp) -> Vec<(StepRef, Urgency)> {
+    /// Waiting steps without a claim whose retry time has come and whose account has room, in the order
+    /// in which they are served, and whether each one gets only what is left over.
+    fn due_steps(&self, state: &State, now: Timestamp) -> Vec<(StepRef, Urgency, bool)> {
         let due = |step: &StepRef| {
             self.retry_at.get(step).is_none_or(|at| now >= *at)
+                && !self.quota_waits.contains(step)
                 && !self.claims.iter().any(|claim| claim.step == *step)
         };
         let ranked = self.ready.iter().filter(|(step, _)| due(step));
-        let ranked = ranked.map(|(step, urgency)| (rank(urgency, now), *step, *urgency));
+        let ranked = ranked.map(|(step, urgency)| {
+            let standing = self.fairness.standing(state, step.job);
+            (rank(urgency, &standing, now), *step, *urgency)
+        });
         let mut ranked: Vec<_> = ranked.collect();
         ranked.sort_unstable_by_key(|(rank, step, _)| (*rank, *step));
         ranked.truncate(MAX_STEPS_PER_PASS);
-        ranked.into_iter().map(|(_, step, urgency)| (step, urgency)).collect()
+        let yields = |rank: Rank| self.fairness.is_active() && rank.yields();
+        ranked.into_iter().map(|(rank, step, urgency)| (step, urgency, yields(rank))).collect()
     }
 
     /// Removes claims that were placed or given up, and adds new ones.
@@ -198,7 +218,7 @@
             let usable = session.is_some_and(|(_, session)| session.is_usable(now));
             let silent = self.zones.is_silent(&life.info.zone);
             if usable && !silent && !life.info.draining {
-                let (free, slowness) = (life.free(), self.speeds.slowness(life.id));
+                let (free, slowness) = (life.free(), self.slowness(life.id, &life.info.worker));
                 // What ends on a worker that has shrunk does not become free at first.
                 let claimed_beyond_free = life.excess();
                 let isolation = self.isolation(state, life.id, now);
@@ -235,7 +255,7 @@
     /// work.
     fn reclaimable(&self, life: LifeId, now: Timestamp) -> Reclaimable {
         let Some(session) = self.sessions.get(&life) else { return Reclaimable::default() };
-        let slowness = f64::from(self.speeds.slowness(life)) / 100.0;
+        let slowness = f64::from(self.slowness(life, session.worker())) / 100.0;
         let mut found = Reclaimable::default();
         for status in session.runs() {
             let Some(traits) = status.traits else { continue };
@@ -249,8 +269,8 @@
                 let run = PausableRun { task: status.task, run: status.run, need, priority };
                 found.pausable.push(run);
             } else if !traits.endless {
-                let pace = self.speeds.correction(traits.queue) * slowness;
-                let left = time_left(&status, estimate.mul_f64(pace), now);
+                let expected = self.forecast(traits.queue, estimate).high.mul_f64(slowness);
+                let left = time_left(&status, expected, now);
                 found.ending.push((left + END_MARGIN, need));
             }
         }
@@ -284,8 +304,8 @@
             None => EligibleWorkers::Any,
             Some(advice) => {
                 let known = self.advice.step(step).filter(|known| known.any_asked())?;
-                let enough = MIN_ASKED_BEFORE_PAUSING.min(self.usable_workers(now));
-                asked_enough = known.asked() >= enough;
+                asked_enough = known.asked() >= MIN_ASKED_BEFORE_PAUSING
+                    || known.asked() >= self.usable_workers(now);
                 renewal =
                     advice.duration(progress.tasks.len().min(MAX_RENEWED_TICKETS)) + RENEWAL_MARGIN;
                 EligibleWorkers::Only(known.eligible(advice.ticket_life).collect())
@@ -295,6 +315,7 @@
             if spec.max_per_worker > 0 { count_placed_by_life(progress) } else { Vec::new() };
         Some(Demand {
             step,
+            account: job.account.clone(),
             tasks,
             need: spec.charge(),
             gang: spec.gang,
@@ -305,7 +326,7 @@
             service: policy.service.clone(),
             eligible,
             placed,
-            tight: urgency.is_tight(now),
+            tight: self.is_tight(urgency, now),
             priority: policy.priority,
             // A gang can wait for a slow stop: its objective leaves it more time than a stop takes.
             can_wait_for_stop: (spec.gang || (asked_enough && self.stop_time <= MAX_QUICK_STOP))
@@ -313,25 +334,34 @@
             stop_time: self.stop_time,
             renewal,
             suspect: spec.gang && state.has_suspects(step),
+            yields: false,
+            by_speed: self.learning.is_uneven(),
         })
     }
+
+    /// Priority, objective and remaining work of a step, by which waiting steps are ranked.
+    pub(crate) fn urgency(&self, state: &State, step: StepRef) -> Option<Urgency> {
+        let job = state.job(step.job)?;
+        let policy = state.policy(job.queue);
+        let request = job.request.as_ref();
+        let critical_path =
+            request.map(|request| self.critical_path(job.queue, request)).unwrap_or_default();
+        let estimate = state.spec(step).map(|spec| spec.estimate).unwrap_or_default();
+        let left = self.forecast(job.queue, estimate).median;
+        let due = match request.and_then(|request| request.schedule) {
+            Some(schedule) => schedule.first + schedule.interval * step.occurrence,
+            None => job.submitted,
+        };
+        let objective = policy.objective(critical_path);
+        Some(Urgency { priority: policy.priority, submitted: due, objective, left })
+    }
 }
 
-/// Priority, objective and remaining work of a step, by which waiting steps are ranked.
-pub(crate) fn urgency(state: &State, step: StepRef, speeds: &Speeds) -> Option<Urgency> {
-    let job = state.job(step.job)?;
-    let policy = state.policy(job.queue);
-    let request = job.request.as_ref();
-    let critical_path = request.map(|request| request.critical_path()).unwrap_or_default();
-    let spec = state.spec(step);
-    let left = spec.map(|spec| spec.estimate).unwrap_or_default();
-    let left = left.mul_f64(speeds.correction(job.queue));
-    let due = match request.and_then(|request| request.schedule) {
-        Some(schedule) => schedule.first + schedule.interval * step.occurrence,
-        None => job.submitted,
-    };
-    let objective = policy.objective(critical_path);
-    Some(Urgency { priority: policy.priority, submitted: due, objective, left })
+/// When a step that found no capacity is tried again, if this many others of the pass found none
+/// before it. What becomes free goes to those first, and a try takes the leader's time.
+fn retry_interval(usual: Duration, ahead: usize) -> Duration {
+    let intervals = u32::try_from(ahead).unwrap_or(u32::MAX) / STEPS_PER_RETRY_INTERVAL;
+    usual * intervals.saturating_add(1).min(MAX_RETRY_INTERVALS)
 }
 
 /// Estimated remaining time of a run: from its reported progress if that is enough, otherwise from
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod logger;
 pub(crate) mod losses;
+pub(crate) mod quotas;
 pub(crate) mod replacements;
 mod runs;
 mod worker;
@@ -17,8 +18,10 @@
     Configuration, JobRequest, Phase, QueueAddress, QueuePolicy, ResourceVector, RunNumber,
     ServicePolicy, StepSpec, TaskRef,
 };
+use quotas::Quotas;
 use scheduler::{
-    Answer, Call, Input, Node, NodeConfigBuilder, OrderEnvelope, Output, PeerMessage, StartState,
+    Answer, Call, Input, Node, NodeConfigBuilder, NodeStats, OrderEnvelope, Output, PeerMessage,
+    StartState,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -165,6 +168,8 @@
     pub(crate) callers: callers::Callers,
     /// How far the time of day on odd hosts is ahead of the world's.
     pub(crate) wall_clock_ahead: u64,
+    /// Quotas of the accounts; `None` if there are no accounts.
+    pub(crate) quotas: Option<Quotas>,
 }
 
 fn ms(millis: u64) -> Duration {
@@ -262,6 +267,7 @@
             crashes: Crashes::default(),
             callers: callers::Callers::default(),
             wall_clock_ahead: 0,
+            quotas: None,
         };
         for i in 0..HOSTS {
             world.start(i, true);
@@ -376,6 +382,12 @@
         self.hosts[i].node.as_ref().is_some_and(|node| node.has_job(job))
     }
 
+    /// Counters and gauges of a host that is up.
+    #[allow(dead_code)] // Not all tests that share this module use it.
+    pub(crate) fn stats(&self, i: usize) -> NodeStats {
+        self.hosts[i].node.as_ref().unwrap().stats()
+    }
+
     /// The group's members as a host knows them.
     pub(crate) fn group_members(&self, i: usize) -> Vec<(String, consensus::Role)> {
         self.hosts[i].node.as_ref().map(Node::members).unwrap_or_default()
@@ -407,8 +419,17 @@
     }
 
     pub(crate) fn configure(&mut self, version: u64) {
+        self.configure_quotas(version, true);
+    }
+
+    /// Sends a configuration with random quotas for the accounts, if there are any, or without.
+    pub(crate) fn configure_quotas(&mut self, version: u64, limited: bool) {
         let host = self.any_of_group();
-        self.call(host, Call::Configure(Box::new(configuration(version))));
+        let mut configuration = configuration(version);
+        if let Some(quotas) = &mut self.quotas {
+            quotas.add_to(&mut configuration, limited);
+        }
+        self.call(host, Call::Configure(Box::new(configuration)));
     }
 
     /// Submits a random job.
@@ -445,13 +466,19 @@
         let host = self.rng.usize(DISKS..HOSTS);
         self.call(
             host,
-            Call::Submit { id, queue: queue(advised), request: Box::new(request), key: None },
+            Call::Submit {
+                id,
+                queue: queue(advised),
+                request: Box::new(request),
+                key: self.key_for(id),
+            },
         );
     }
 
     pub(crate) fn cancel(&mut self, id: JobId) {
         let host = self.rng.usize(DISKS..HOSTS);
-        self.call(host, Call::Cancel { id, queue: queue(false), key: None });
+        let key = self.key_for(id);
+        self.call(host, Call::Cancel { id, queue: queue(false), key });
     }
 
     fn input(&mut self, i: usize, input: Input) {
@@ -520,7 +547,7 @@
             (Call::Submit { id, .. }, Ok(_)) => self.jobs.get_mut(&id).unwrap().accepted = true,
             // Clients retry a submission with an unknown outcome.
             (Call::Submit { id, queue, request, key }, Err(refusal))
-                if refusal.kind != RefusalKind::NotFound =>
+                if !matches!(refusal.kind, RefusalKind::NotFound | RefusalKind::BadInput) =>
             {
                 let host = self.rng.usize(DISKS..HOSTS);
                 let call = Call::Submit { id, queue, request, key };
@@ -534,6 +561,11 @@
             (Call::JobPhase { id, .. }, Ok(Answer::Phase(phase))) => {
                 self.on_phase(id, phase, asked)
             }
+            (Call::Configure(configuration), Ok(_)) => {
+                if let Some(quotas) = &mut self.quotas {
+                    quotas.acknowledge(configuration.version, self.now);
+                }
+            }
             (Call::Configure(configuration), Err(_)) => {
                 let host = self.any_of_group();
                 let call = Call::Configure(configuration);
@@ -657,7 +689,7 @@
     /// Asks for the number of waiting jobs in each queue.
     pub(crate) fn ask_waiting(&mut self) {
         for advised in [false, true] {
-            self.call(DISKS, Call::CountWaiting { queue: queue(advised), key: None });
+            self.call(DISKS, Call::CountWaiting { queue: queue(advised), key: self.key_for(0) });
         }
     }
 
@@ -665,7 +697,7 @@
     pub(crate) fn ask(&mut self, id: JobId) {
         for advised in [false, true] {
             let host = self.rng.usize(DISKS..HOSTS);
-            self.call(host, Call::JobPhase { id, queue: queue(advised), key: None });
+            self.call(host, Call::JobPhase { id, queue: queue(advised), key: self.key_for(id) });
         }
     }
 }
