--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -4,10 +4,9 @@
 use std::process::{Command, Output};
 use tempfile::TempDir;
 
-const GOOD: &str = r#"{"version":3,"routes":[{"name":"r","host":"q.example","prefix":"/q/",
-    "timeoutMs":3000,"sloMs":250,"prio":0,"service":"s","attempts":3,"stretch":1.5}],
-    "services":[{"name":"s"}],
-    "tenants":[{"name":"a","apiKeys":["first-secret"],"weight":4}]}"#;
+const GOOD: &str = include_str!("../../../platform/tests/data/configuration.json");
+/// The same with another account that has the first one's key.
+const SHARED_KEY: &str = include_str!("../../../platform/tests/data/shared-key.json");
 
 struct Files(TempDir);
 
@@ -50,13 +49,7 @@
         (&GOOD.replace("3000", "0"), "queue r: its timeout must not be 0"),
         (&GOOD.replace("\"version\":3", "\"version\":0"), "version: must not be 0"),
         (&GOOD.replace("\"weight\":4", "\"weight\":\"x\""), "account a: weight: must be a number"),
-        (
-            &GOOD.replace(
-                "\"tenants\":[",
-                "\"tenants\":[{\"name\":\"b\",\"apiKeys\":[\"first-secret\"]},",
-            ),
-            "account a: shares a key with account b",
-        ),
+        (SHARED_KEY, "account a: shares a key with account b"),
     ];
     for (text, cause) in cases {
         let (code, printed) = check(&[&files.write("bad.json", text)]);
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -3,7 +3,8 @@
 use crate::call::Call;
 use crate::group::Origin;
 use crate::leader::Leader;
-use crate::node::{Node, NodeStats};
+use crate::node::Node;
+use crate::stats::NodeStats;
 use accounts::{Account, Candidate, Decision};
 use jobs::{JobRequest, QueueAddress, State};
 use std::time::Duration;
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -8,8 +8,9 @@
     hex, kind_name, log_beyond_quota, log_given_up, log_job_over, log_runs_lost, objective_ms,
 };
 use crate::learning::Learning;
-use crate::node::NodeStats;
 use crate::quota_waits::QuotaWaits;
+use crate::run_traits::run_traits;
+use crate::stats::NodeStats;
 use crate::zones::Zones;
 use consensus::Term;
 use dispatch::{AdviceTracker, OrderId, RunTraits, Session};
@@ -23,8 +24,6 @@
 pub(crate) const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum time between two placement passes while steps wait.
 pub(crate) const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(200);
-/// Priority of runs that were started with what others left over: all others may pause them.
-const LOWEST_PRIORITY: u32 = u32::MAX;
 /// Numbers of orders and advice calls of a term start at the term times this.
 const NUMBERS_PER_TERM: u64 = 1 << 32;
 /// Fences of a term start at the term times this; the life is added.
@@ -239,7 +238,7 @@
                     self.on_placed(state, life, task, run, now);
                 }
                 Effect::Freed { life, task, run, kind } => {
-                    count_end(stats, kind);
+                    stats.count_end(kind);
                     self.on_freed(life, task, run, kind, now);
                 }
                 Effect::GangBroken(step) => self.stop_where(|task| task.step == step, now),
@@ -382,36 +381,3 @@
         sessions.fold(next, Timestamp::min).max(now)
     }
 }
-
-fn count_end(stats: &mut NodeStats, kind: Option<EndKind>) {
-    let i = match kind {
-        Some(EndKind::Done) => 0,
-        Some(EndKind::Failed) => 1,
-        Some(EndKind::Stopped) => 2,
-        Some(EndKind::Lapsed) => 3,
-        Some(EndKind::Broken) => 4,
-        Some(EndKind::Alone) => 5,
-        None => {
-            stats.lost_runs += 1;
-            return;
-        }
-    };
-    stats.ends[i] += 1;
-}
-
-/// Properties of a run that its job determines; `None` once the job is over.
-fn run_traits(state: &State, task: TaskRef, run: RunNumber) -> Option<RunTraits> {
-    let (spec, job) = (state.spec(task.step)?, state.job(task.step.job)?);
-    let alone = !spec.gang || spec.count == 1;
-    // A later run may continue from a checkpoint.
-    let from_start = run == 1 || !spec.checkpoint;
-    Some(RunTraits {
-        queue: job.queue,
-        priority: if job.over_rate { LOWEST_PRIORITY } else { state.policy(job.queue).priority },
-        need: spec.charge(),
-        estimate: spec.estimate,
-        from_scratch: alone && from_start && !spec.long_running,
-        pausable: spec.checkpoint && !spec.gang && !spec.long_running,
-        endless: spec.long_running,
-    })
-}
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -1,6 +1,6 @@
 //! The state machine of one host, without I/O.
 
-use crate::account_stats::{account_stats, AccountStats};
+use crate::account_stats::account_stats;
 use crate::calls::OpenCall;
 use crate::capacity_reports::CapacityReports;
 use crate::config::{NodeConfig, StartState};
@@ -11,7 +11,8 @@
 use crate::group::Group;
 use crate::io::{Input, Output};
 use crate::reconfigure::live_voters;
-use consensus::{Config, GroupFormation, InitialMember, JoinRequests, Raft, Restored, Role, Term};
+use crate::stats::NodeStats;
+use consensus::{Config, GroupFormation, InitialMember, JoinRequests, Raft, Restored, Role};
 use jobs::{Configuration, StepRef};
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,62 +32,6 @@
 /// tell the leader of it, an election and two entries of the log.
 const VOTE_MOVE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Counters and gauges for metrics.
-#[derive(Clone, Debug, Default)]
-pub struct NodeStats {
-    /// Whether this host is the leader.
-    pub leads: bool,
-    /// Current term of the group's log; 0 on hosts that are not members.
-    pub term: Term,
-    /// Members of the group whose votes count; 0 on hosts that are not members.
-    pub voters: usize,
-    /// Those of them that this host has heard from lately, itself included; only on the leader.
-    pub live_voters: usize,
-    /// Version of the configuration in force on this host.
-    pub version: u64,
-    /// Time since a moment at which the group certainly had no newer configuration; `None` if there
-    /// was none.
-    pub configuration_age: Option<Duration>,
-    /// Client calls of this host that wait for an answer.
-    pub open_calls: usize,
-    /// Jobs in the replicated state that are not finished.
-    pub open_jobs: usize,
-    /// Steps with tasks that wait for placement; only on the leader.
-    pub ready_steps: usize,
-    /// Workers that accept new tasks; only on the leader.
-    pub usable_workers: usize,
-    /// Workers that answer but get no new tasks, since they have not reported their capacity lately;
-    /// only on the leader.
-    pub unreported_workers: usize,
-    /// Registered workers in the replicated state.
-    pub workers: usize,
-    /// Placements applied by this process while it was the leader.
-    pub starts: u64,
-    /// Run ends applied by this process while it was the leader, by kind: done, failed, stopped,
-    /// lapsed, broken, alone.
-    pub ends: [u64; 6],
-    /// Calls to the advice service that this process started as the leader.
-    pub advice_calls: u64,
-    /// Use of the advice service in the current term; only on the leader.
-    pub advice: dispatch::AdviceUsage,
-    /// Jobs accepted while this process was the leader.
-    pub accepted: u64,
-    /// Jobs beyond their account's rate that were refused because the cell was full.
-    pub refused_over_rate: u64,
-    /// Jobs within their account's rate that were refused because they could not start in time.
-    pub refused_too_late: u64,
-    /// Runs given up because their workers never reported an end.
-    pub lost_runs: u64,
-    /// Crashes of workers.
-    pub worker_crashes: u64,
-    /// Jobs given up because workers crash under one of their tasks.
-    pub jobs_given_up: u64,
-    /// Jobs refused because a step can't run within its account's quota.
-    pub beyond_quota: u64,
-    /// What the largest accounts have running and waiting; only on the leader.
-    pub accounts: Vec<AccountStats>,
-}
-
 /// State machine of one host. The crate documentation describes how a driver uses it.
 #[derive(Debug)]
 pub struct Node {
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -1,16 +1,16 @@
 //! Placement passes: collects waiting steps, free capacity and advice, runs the placement
 //! algorithm, and turns its result into commands, stops and advice calls.
 
+use crate::demand::split_suspects;
 use crate::group::OnApplied;
 use crate::job_log::hex;
 use crate::leader::{Leader, MIN_PLAN_INTERVAL};
 use crate::node::Node;
 use crate::quota_waits::{rooms, without_claims};
 use dispatch::{AdviceCall, RunStatus, RunTraits};
-use jobs::{Command, LifeId, Placement, Progress, RunNumber, State, StepRef, TaskRef};
+use jobs::{Command, LifeId, Placement, RunNumber, State, StepRef, TaskRef};
 use placement::steps::{
-    plan, rank, Claim, Demand, EligibleWorkers, PausableRun, Rank, Reclaimable, StepPlan, Urgency,
-    WorkerCapacity,
+    plan, rank, Claim, Demand, PausableRun, Rank, Reclaimable, StepPlan, Urgency, WorkerCapacity,
 };
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -18,12 +18,6 @@
 
 /// A run that has reached this progress is not stopped for another one.
 const NEARLY_DONE_PERCENT: u32 = 75;
-/// Runs are paused for a step only after the advice service was asked about this many workers, or
-/// about all of them.
-const MIN_ASKED_BEFORE_PAUSING: usize = 48;
-/// A step other than a gang waits for a stop only if the stop takes at most this long: tight work
-/// would be late anyway after a longer one.
-const MAX_QUICK_STOP: Duration = Duration::from_millis(400);
 /// Added to the interval between two passes for each waiting step.
 const PLAN_INTERVAL_PER_STEP: Duration = Duration::from_micros(20);
 /// Progress below this many percent is too little to estimate a run's total time.
@@ -42,10 +36,6 @@
 const MAX_RETRY_INTERVALS: u32 = 10;
 /// Added to a run's estimated remaining time: the time until its end is committed.
 const END_MARGIN: Duration = Duration::from_millis(60);
-/// Added to the duration of a call for new tickets: the time for messages between the hosts.
-const RENEWAL_MARGIN: Duration = Duration::from_millis(60);
-/// Largest number of workers assumed in a call for new tickets when its duration is estimated.
-const MAX_RENEWED_TICKETS: usize = 16;
 /// Limit on the steps in one pass; the most urgent ones are taken.
 const MAX_STEPS_PER_PASS: usize = 200;
 /// Limit on the tasks that one command places.
@@ -280,81 +270,6 @@
         found.ending.sort_unstable_by_key(|(left, _)| *left);
         found
     }
-
-    /// What a step needs; `None` if no task can start now or the advice service has not answered a
-    /// call about the step yet.
-    fn demand(
-        &self,
-        state: &State,
-        step: StepRef,
-        urgency: &Urgency,
-        now: Timestamp,
-    ) -> Option<Demand> {
-        let job = state.job(step.job)?;
-        let spec = state.spec(step)?;
-        let progress = job.step(step)?;
-        let tasks = startable(state, step, progress, spec.gang);
-        if tasks.is_empty() {
-            return None;
-        }
-        let policy = state.policy(job.queue);
-        let mut asked_enough = true;
-        let mut renewal = Duration::ZERO;
-        let eligible = match &policy.advice {
-            None => EligibleWorkers::Any,
-            Some(advice) => {
-                let known = self.advice.step(step).filter(|known| known.any_asked())?;
-                asked_enough = known.asked() >= MIN_ASKED_BEFORE_PAUSING
-                    || known.asked() >= self.usable_workers(now);
-                renewal =
-                    advice.duration(progress.tasks.len().min(MAX_RENEWED_TICKETS)) + RENEWAL_MARGIN;
-                EligibleWorkers::Only(known.eligible(advice.ticket_life).collect())
-            }
-        };
-        let placed =
-            if spec.max_per_worker > 0 { count_placed_by_life(progress) } else { Vec::new() };
-        Some(Demand {
-            step,
-            account: job.account.clone(),
-            tasks,
-            need: spec.charge(),
-            gang: spec.gang,
-            same_rack: spec.same_rack,
-            required_label: spec.required_label.clone(),
-            data_rack: spec.data_rack.clone(),
-            max_per_worker: spec.max_per_worker,
-            service: policy.service.clone(),
-            eligible,
-            placed,
-            tight: self.is_tight(urgency, now),
-            priority: policy.priority,
-            // A gang can wait for a slow stop: its objective leaves it more time than a stop takes.
-            can_wait_for_stop: (spec.gang || (asked_enough && self.stop_time <= MAX_QUICK_STOP))
-                && now + self.stop_time + urgency.left <= urgency.submitted + urgency.objective,
-            stop_time: self.stop_time,
-            renewal,
-            suspect: spec.gang && state.has_suspects(step),
-            yields: false,
-            by_speed: self.learning.is_uneven(),
-        })
-    }
-
-    /// Priority, objective and remaining work of a step, by which waiting steps are ranked.
-    pub(crate) fn urgency(&self, state: &State, step: StepRef) -> Option<Urgency> {
-        let job = state.job(step.job)?;
-        let policy = state.policy(job.queue);
-        let request = job.request.as_ref();
-        let critical_path =
-            request.map(|request| self.critical_path(job.queue, request)).unwrap_or_default();
-        let estimate = state.spec(step).map(|spec| spec.estimate).unwrap_or_default();
-        let left = self.forecast(job.queue, estimate).median;
-        let due = match request.and_then(|request| request.schedule) {
-            Some(schedule) => schedule.first + schedule.interval * step.occurrence,
-            None => job.submitted,
-        };
-        let objective = policy.objective(critical_path);
-        Some(Urgency { priority: policy.priority, submitted: due, objective, left })
-    }
 }
 
 /// When a step that found no capacity is tried again, if this many others of the pass found none
@@ -376,45 +291,3 @@
     let total = Duration::from_secs_f64(until_report * 100.0 / f64::from(status.percent.min(100)));
     total.saturating_sub(worked)
 }
-
-/// Tasks that wait for placement, without those that a delayed earlier start order may still start
-/// and those that are given up if a silent worker has crashed. No task of a gang is returned if one of them is held back.
-fn startable(state: &State, step: StepRef, progress: &jobs::StepState, gang: bool) -> Vec<u32> {
-    let mut tasks: Vec<u32> = progress.waiting().collect();
-    let in_doubt = |index: &u32| {
-        let task = TaskRef { step, index: *index };
-        state.in_doubt_starts().iter().any(|start| start.task == task)
-            || state.awaits_silent_workers(task)
-    };
-    if gang && tasks.iter().any(in_doubt) {
-        return Vec::new();
-    }
-    tasks.retain(|index| !in_doubt(index));
-    tasks
-}
-
-/// Separates suspect tasks, which start apart from others. The tasks of a gang stay together.
-fn split_suspects(state: &State, demand: Demand) -> Vec<Demand> {
-    if demand.gang || !state.has_suspects(demand.step) {
-        return vec![demand];
-    }
-    let is_suspect = |index: &u32| state.is_suspect(TaskRef { step: demand.step, index: *index });
-    let (suspects, others): (Vec<u32>, Vec<u32>) = demand.tasks.iter().partition(|i| is_suspect(i));
-    let suspects = Demand { tasks: suspects, suspect: true, ..demand.clone() };
-    let others = Demand { tasks: others, ..demand };
-    [suspects, others].into_iter().filter(|demand| !demand.tasks.is_empty()).collect()
-}
-
-/// Number of placed tasks of a step per life.
-fn count_placed_by_life(progress: &jobs::StepState) -> Vec<(LifeId, u32)> {
-    let mut placed: Vec<(LifeId, u32)> = Vec::new();
-    for task in &progress.tasks {
-        if let Progress::Placed(life) = task.progress {
-            match placed.iter_mut().find(|(id, _)| *id == life) {
-                Some((_, count)) => *count += 1,
-                None => placed.push((life, 1)),
-            }
-        }
-    }
-    placed
-}
