One constant for how long a late job has value in the scheduler

Cause: the advice part repeated a constant of the placement. Change: it uses the placement's. Conclusion: no behaviour changes.

--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -7,7 +7,7 @@
 use crate::leader::Leader;
 use dispatch::{AdviceCall, CallPriority, MAX_WORKERS_PER_CALL};
 use jobs::{AdvicePolicy, LifeId, ResourceVector, State, StepRef};
-use placement::steps::{Urgency, WorkerCapacity};
+use placement::steps::{Urgency, WorkerCapacity, WORTHLESS_AFTER_OBJECTIVES};
 use std::cmp::Reverse;
 use std::time::Duration;
 use types::Timestamp;
@@ -35,8 +35,6 @@
 const EXTRA_RENEWAL_SHARE: f64 = 0.25;
 /// Tickets renewed together, as a multiple of the waiting tasks.
 const RENEWALS_PER_TASK: usize = 2;
-/// A late job still has value up to this multiple of its objective.
-const WORTHLESS_AFTER_OBJECTIVES: u32 = 3;
 
 impl Leader {
     /// Begins a call about workers that can hold a task of the step and were not asked about yet:
