Review: a task runs on two minions after a restart and a cut

Cause: Session::expire gives runs up when the leases of a minion's old life have ended, although its next life may have accepted the start later and so holds a lease of its own. Starts in doubt are only held back when the life ends.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || { echo "run review/build.sh first"; exit 2; }
-exec target/review/standin lasting review/3
+exec target/review/standin restart-and-cut review/3
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -19,6 +19,7 @@
         "lasting" => lasting(trouble, record),
         "overdue" => overdue(trouble, record),
         "foreign-beat" => foreign_beat(trouble, record),
+        "restart-and-cut" => restart_and_cut(trouble, record),
         "leaving" => leaving(trouble, record),
         other => Err(format!("there is no case {other}")),
     }
@@ -110,9 +111,19 @@
     let began = events.first().map(|(at, _)| *at);
     let since = |at: Instant| began.map_or(0.0, |began| (at - began).as_secs_f64());
     let mut noted: BTreeMap<(&str, u32), Instant> = BTreeMap::new();
+    let mut ended: BTreeMap<(&str, u32), Instant> = BTreeMap::new();
+    let mut lapsed: BTreeMap<usize, Instant> = BTreeMap::new();
     for (at, event) in events {
-        if let Event::Noted { task, run, how: "done", .. } = event {
-            noted.entry((task, *run)).or_insert(*at);
+        match event {
+            Event::Ended { task, run, .. } => drop(ended.insert((task, *run), *at)),
+            Event::Lapsed { minion } => drop(lapsed.insert(*minion, *at)),
+            Event::Noted { minion, task, run, how: "done" } => {
+                // An end doesn't count as taken note of if the lease has lapsed since.
+                if lapsed.get(minion) < ended.get(&(task.as_str(), *run)) {
+                    noted.entry((task, *run)).or_insert(*at);
+                }
+            }
+            _ => {}
         }
     }
     let mut running: BTreeMap<&str, Vec<(usize, u32)>> = BTreeMap::new();
@@ -152,7 +163,7 @@
             Event::Crashed { minion, task, run } => {
                 running.entry(task).or_default().retain(|key| key != &(*minion, *run));
             }
-            Event::Noted { .. } => {}
+            Event::Noted { .. } | Event::Lapsed { .. } => {}
         }
     }
     breaks
@@ -189,7 +200,7 @@
     sleep_ms(1_000);
     let events = world.events();
     let lapsed = events.iter().filter(|(_, e)| matches!(e, Event::Ended { how: "lapsed", .. }));
-    record.line(&format!("runs that ended because their lease did: {}", lapsed.count()));
+    record.line(&format!("runs that ended because their lease lapsed: {}", lapsed.count()));
     Ok(started_twice(&events))
 }
 
@@ -244,6 +255,44 @@
     Ok(breaks)
 }
 
+/// A minion crashes as it gets a start, starts again under its id, and is cut off once it has accepted
+/// a start. If it hears first that it is taken for its next life, the same is tried again.
+fn restart_and_cut(trouble: bool, record: &Record) -> Outcome {
+    const DOWN_MS: u64 = 1_200;
+    const CUT_MS: u64 = 5_400;
+    const ATTEMPTS: u64 = 3;
+    let labels = |i: usize| [["a", "b"][i % 2], "r1-1"];
+    let world = World::start(record, 8, labels, |_| Some(9_000), 3)?;
+    let body = "{\"spec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":8000,\"memMb\":1000,\
+                \"estimateMs\":9000}]}";
+    for attempt in 0..ATTEMPTS {
+        let id = format!("5c0e7a21d94b36f{attempt}");
+        world.minions.iter().for_each(|m| m.0.crash_on_start.store(trouble, Ordering::SeqCst));
+        world.submit(&id, body)?;
+        let mut cut = false;
+        if trouble {
+            let crashed = || world.minions.iter().find(|m| m.is_down());
+            world.wait(10, "a minion crashes", || crashed().is_some())?;
+            let minion = crashed().ok_or("no minion has crashed")?.clone();
+            world.minions.iter().for_each(|m| m.0.crash_on_start.store(false, Ordering::SeqCst));
+            sleep_ms(DOWN_MS);
+            minion.0.cut_after_start.store(true, Ordering::SeqCst);
+            minion.restart();
+            sleep_ms(1_000);
+            cut = !minion.0.cut_after_start.swap(false, Ordering::SeqCst);
+            if cut {
+                sleep_ms(CUT_MS - 1_000);
+                minion.set_cut(false);
+            }
+        }
+        world.wait(30, "the job is complete", || world.state(&id, 0) == "complete")?;
+        if cut || !trouble {
+            return Ok(started_twice(&world.events()));
+        }
+    }
+    Err("the restarted minion got no start before its new life was known".to_string())
+}
+
 /// A client hands in a schedule of one task a second for a day: soon after its first time, or in the
 /// evening of that day.
 fn overdue(trouble: bool, record: &Record) -> Outcome {
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -42,6 +42,8 @@
     began: Instant,
     fence: u64,
     lease_until: u64,
+    /// The last lease that has lapsed.
+    lapsed: u64,
     runs: BTreeMap<(String, u32), Run>,
     highest: BTreeMap<String, u32>,
     /// Ends that are not taken note of.
@@ -56,6 +58,7 @@
             began: Instant::now(),
             fence: 0,
             lease_until: 0,
+            lapsed: 0,
             runs: BTreeMap::new(),
             highest: BTreeMap::new(),
             ends: Vec::new(),
@@ -82,6 +85,8 @@
     Ended { minion: usize, task: String, run: u32, how: &'static str },
     /// The end of a run was taken note of: `lastSeen` has reached it.
     Noted { minion: usize, task: String, run: u32, how: &'static str },
+    /// The lease of a minion has lapsed.
+    Lapsed { minion: usize },
     /// A minion has crashed with this run on it.
     Crashed { minion: usize, task: String, run: u32 },
 }
@@ -100,6 +105,10 @@
     down: AtomicBool,
     /// So many starts more get no answer and are carried out late.
     pub late_starts: AtomicU32,
+    /// The minion crashes when it gets the next start.
+    pub crash_on_start: AtomicBool,
+    /// The minion is cut off once it has accepted the next start.
+    pub cut_after_start: AtomicBool,
     /// Orders that got no answer, and all orders.
     pub unanswered: AtomicU32,
     pub orders: AtomicU32,
@@ -136,6 +145,8 @@
             cut: AtomicBool::new(false),
             down: AtomicBool::new(false),
             late_starts: AtomicU32::new(0),
+            crash_on_start: AtomicBool::new(false),
+            cut_after_start: AtomicBool::new(false),
             unanswered: AtomicU32::new(0),
             orders: AtomicU32::new(0),
             draining: AtomicBool::new(false),
@@ -175,9 +186,11 @@
 
     /// The minion's process ends; its port has no listener. All that it runs is gone.
     pub fn crash(&self) {
-        self.0.down.store(true, Ordering::SeqCst);
-        let gone: Vec<(String, u32)> =
-            std::mem::take(&mut self.life().runs).into_keys().collect();
+        let gone: Vec<(String, u32)> = {
+            let mut life = self.life();
+            self.0.down.store(true, Ordering::SeqCst);
+            std::mem::take(&mut life.runs).into_keys().collect()
+        };
         self.say(&format!("crashed with {} runs", gone.len()));
         for (task, run) in gone {
             self.say(&format!("lost by the crash: {task} run {run}"));
@@ -201,6 +214,10 @@
         self.say("started again");
     }
 
+    pub fn is_down(&self) -> bool {
+        self.is(&self.0.down)
+    }
+
     pub fn running(&self) -> Vec<(String, u32)> {
         self.life().runs.keys().cloned().collect()
     }
@@ -267,6 +284,10 @@
                     if self.is(&self.0.down) || http::write_response(&mut out, status, &body).is_err() {
                         return;
                     }
+                    let is_start = req.path == "/api/run-start";
+                    if is_start && self.0.cut_after_start.swap(false, Ordering::SeqCst) {
+                        self.set_cut(true);
+                    }
                 }
                 None => {
                     // Left unanswered: the connection stays open until the caller gives up.
@@ -295,6 +316,10 @@
         }
         let (task, run) = (params.text("task").to_string(), params.number("run").unwrap_or(0) as u32);
         let start = req.path == "/api/run-start";
+        if start && self.0.crash_on_start.swap(false, Ordering::SeqCst) {
+            self.crash();
+            return None;
+        }
         if start && self.0.late_starts.load(Ordering::SeqCst) > 0 {
             self.0.late_starts.fetch_sub(1, Ordering::SeqCst);
             self.0.unanswered.fetch_add(1, Ordering::SeqCst);
@@ -314,6 +339,9 @@
     fn run_order(&self, params: &Json, start: bool, fence: u64, late: bool) -> Option<(u16, String)> {
         let (task, run) = (params.text("task").to_string(), params.number("run").unwrap_or(0) as u32);
         let mut life = self.life();
+        if self.is(&self.0.down) {
+            return None;
+        }
         let clock = life.clock();
         let refused = |why: &str| Some((409, format!("{{\"clockMs\":{clock},\"reason\":\"{why}\"}}")));
         if fence < life.fence {
@@ -428,6 +456,11 @@
             let is_due = |run: &Run| lapsed || run.done_at.is_some_and(|at| now >= at);
             let due = life.runs.iter().filter(|(_, run)| is_due(run));
             let due: Vec<(String, u32)> = due.map(|(key, _)| key.clone()).collect();
+            if lapsed && life.lapsed != life.lease_until {
+                life.lapsed = life.lease_until;
+                self.push(Event::Lapsed { minion: self.0.index });
+                self.say("the lease lapsed");
+            }
             for (task, run) in due {
                 self.end(&mut life, &task, run, if lapsed { "lapsed" } else { "done" });
             }
