--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -65,12 +65,13 @@
         if !program.is_file() {
             return Err("target/release/ebonywalkd is not built".to_string());
         }
-        let first = (std::process::id() % 200) as u8;
+        let first = std::process::id() % 200;
         let is_free = |subnet: u8| {
             let addr = SocketAddr::from(([127, subnet, 0, 1], CONTROL_PORT));
             TcpListener::bind(addr).is_ok()
         };
-        let subnet = (0..200u8).map(|i| 20 + (first + i) % 200).find(|subnet| is_free(*subnet));
+        let subnets = (0..200).map(|i| (20 + (first + i) % 200) as u8);
+        let subnet = subnets.into_iter().find(|subnet| is_free(*subnet));
         let subnet = subnet.ok_or("no free loopback addresses")?;
         let name = format!("ebonywalk-review-{}", std::process::id());
         let dir = std::env::temp_dir().join(name);
