Wait out a start that a worker's next life may hold

Cause: Session::expire gave all runs up when the leases of the life before had certainly expired, by that life's clock. A start that the next life accepts takes its lease from when it is accepted, so it outlasts them by up to 6.15 s. The session knew of this: the answer showed a clock that had begun anew. Starts in doubt were held back only when a life ended, not when its leases ran out. Ruled out: a forgotten restart (the worker's heartbeat had not come), fences (the next life has seen none).

Change: - A session keeps the orders with a lease that wait for an answer, and from each answer which life it names. When runs are given up, those that the next life may have started are held back in the log until its lease must have ended: a lease after an answer that names no life, 13 s more after no answer. - Not in doubt: an order that was never sent (a new kind of answer), or one on a connection that was open before this life last listed its runs. Without that, tasks of workers that are gone for good would wait 13 s more than now. - A run whose start waits for its answer is given up after that answer, at most an order's time limit. - Related: tasks held back for a next life that is never reached were released after 13 s, though an order carried out then takes a lease too. A worker counts as reconciled only while it answers. Tasks are released when another worker has the address. - The line `runs given up` says how long the worker was silent and what is held back for how long.

Suspected, not mended: a new leader does not know which starts its predecessor sent without an answer; it waits for a lease and 1.5 s, which doesn't cover an order that is carried out seconds late by a next life that nobody reaches.

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -13,7 +13,7 @@
 use quick_error::quick_error;
 use std::net::Shutdown;
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use types::SortedMap;
 
 /// Longest time to open a connection; shorter if the exchange's own limit is.
@@ -31,8 +31,9 @@
         NotSent(cause: String) {
             display("not sent: {}", cause)
         }
-        /// The request may have arrived, but no complete response was received.
-        Lost(cause: String) {
+        /// The request may have arrived, but no complete response was received. Also says how long
+        /// the connection had been open by then.
+        Lost(cause: String, connected_for: Duration) {
             display("no complete answer: {}", cause)
         }
     }
@@ -53,10 +54,17 @@
 
 /// Pool of idle connections to any number of servers, by `ip:port`.
 pub struct Pool {
-    idle: Mutex<SortedMap<String, Vec<TcpStream>>>,
+    idle: Mutex<SortedMap<String, Vec<Connection>>>,
     max_body: u64,
 }
 
+/// An open connection, and since when it is open.
+#[derive(Clone)]
+struct Connection {
+    stream: TcpStream,
+    opened: Instant,
+}
+
 impl Pool {
     /// Creates a pool that accepts responses with bodies of at most `max_body` bytes.
     pub fn new(max_body: u64) -> Pool {
@@ -72,13 +80,14 @@
         limit: Duration,
         max_idle: usize,
     ) -> Result<Reply, ExchangeError> {
-        let stream = self.connection(addr, limit).await;
-        let stream = stream.map_err(|e| match e.kind() {
+        let connection = self.connection(addr, limit).await;
+        let connection = connection.map_err(|e| match e.kind() {
             io::ErrorKind::ConnectionRefused => ExchangeError::Refused(e.to_string()),
             _ => ExchangeError::NotSent(e.to_string()),
         })?;
         // From here on the request may have been sent.
-        let guard = CloseOnDrop(Some(stream.clone()));
+        let guard = CloseOnDrop(Some(connection.clone()));
+        let Connection { stream, opened } = connection;
         match timeout(limit, self.send_and_receive(stream, addr, outgoing)).await {
             Ok(Ok((reply, reusable))) => {
                 if reusable {
@@ -86,8 +95,8 @@
                 }
                 Ok(reply)
             }
-            Ok(Err(e)) => Err(ExchangeError::Lost(e.to_string())),
-            Err(_) => Err(ExchangeError::Lost("timed out".to_string())),
+            Ok(Err(e)) => Err(ExchangeError::Lost(e.to_string(), opened.elapsed())),
+            Err(_) => Err(ExchangeError::Lost("timed out".to_string(), opened.elapsed())),
         }
     }
 
@@ -100,20 +109,20 @@
     }
 
     /// Returns an idle connection that is still open, or opens a new one.
-    async fn connection(&self, addr: &str, limit: Duration) -> io::Result<TcpStream> {
-        while let Some(stream) = self.take_idle(addr) {
-            if is_reusable(&stream) {
-                return Ok(stream);
+    async fn connection(&self, addr: &str, limit: Duration) -> io::Result<Connection> {
+        while let Some(idle) = self.take_idle(addr) {
+            if is_reusable(&idle.stream) {
+                return Ok(idle);
             }
         }
         let limit = limit.min(CONNECT_TIMEOUT);
         let connecting = timeout(limit, TcpStream::connect(addr)).await;
         let stream = connecting.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        Ok(stream)
+        Ok(Connection { stream, opened: Instant::now() })
     }
 
-    fn take_idle(&self, addr: &str) -> Option<TcpStream> {
+    fn take_idle(&self, addr: &str) -> Option<Connection> {
         self.idle.lock().expect("lock is not poisoned").get_mut(addr)?.pop()
     }
 
@@ -183,13 +192,13 @@
 }
 
 /// Shuts a connection down when dropped, unless it was taken out for reuse.
-struct CloseOnDrop(Option<TcpStream>);
+struct CloseOnDrop(Option<Connection>);
 
 impl Drop for CloseOnDrop {
     fn drop(&mut self) {
-        if let Some(stream) = &self.0 {
+        if let Some(connection) = &self.0 {
             // An error means that the connection is closed already.
-            let _ = stream.shutdown(Shutdown::Both);
+            let _ = connection.stream.shutdown(Shutdown::Both);
         }
     }
 }
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -61,7 +61,7 @@
                 log::debug!(upstream = upstream.as_str(); "request not sent: {cause}");
                 (AttemptResult::NotSent, None)
             }
-            Err(ExchangeError::Lost(cause)) => {
+            Err(ExchangeError::Lost(cause, _)) => {
                 log::warn!(upstream = upstream.as_str(); "no complete answer: {cause}");
                 (AttemptResult::Lost, None)
             }
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -103,9 +103,26 @@
     /// The worker's host refused the connection: no process listens there, and the order was not
     /// received.
     Absent,
+    /// No answer arrived on a connection that had been open for this long by then. The process that
+    /// had accepted the connection may have carried out the order, or may still.
+    Unanswered {
+        /// Time since the connection was opened.
+        connected_for: Duration,
+    },
+    /// The connection could not be opened in time; the order was not received.
+    NotSent,
 }
 
 impl OrderAnswer {
+    /// Whether the worker has answered. Otherwise it may still have carried out the order.
+    ///
+    /// ```
+    /// assert!(!dispatch::OrderAnswer::Silence.is_answered());
+    /// ```
+    pub fn is_answered(&self) -> bool {
+        matches!(self, OrderAnswer::Done { .. } | OrderAnswer::Refused { .. })
+    }
+
     /// The worker's clock in the answer, in milliseconds; `None` if the answer does not include it.
     ///
     /// ```
@@ -115,7 +132,10 @@
     pub fn clock(&self) -> Option<u64> {
         match self {
             OrderAnswer::Done { clock, .. } | OrderAnswer::Refused { clock, .. } => *clock,
-            OrderAnswer::Silence | OrderAnswer::Absent => None,
+            OrderAnswer::Silence
+            | OrderAnswer::Unanswered { .. }
+            | OrderAnswer::Absent
+            | OrderAnswer::NotSent => None,
         }
     }
 }
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -14,6 +14,7 @@
 
 use crate::order::{Order, OrderId};
 use jobs::{End, LifeId, RunNumber, TaskRef};
+use in_doubt::LeaseOrder;
 use run::{RunEntry, Stage};
 use std::time::Duration;
 use types::{JobId, Timestamp};
@@ -66,6 +67,13 @@
     replaced: bool,
     /// Start orders that got no answer, and when that was noticed.
     unanswered: Vec<(TaskRef, Timestamp)>,
+    /// Orders with a lease that wait for their answers.
+    lease_orders: Vec<LeaseOrder>,
+    /// When every lease has certainly expired that the worker's next life may have taken from an
+    /// order to this one.
+    next_life_lease_end: Timestamp,
+    /// The worker's clock in its last answer that names the life.
+    identified: Option<ClockReading>,
     /// Name of the worker; empty if not set.
     worker: String,
     clock: Option<ClockReading>,
@@ -111,6 +119,9 @@
             reported: None,
             replaced: false,
             unanswered: Vec::new(),
+            lease_orders: Vec::new(),
+            next_life_lease_end: Timestamp::ZERO,
+            identified: None,
             worker: String::new(),
             clock: None,
             leased_until: 0,
@@ -194,6 +205,7 @@
             reported: false,
             listed: false,
             started: false,
+            in_doubt: false,
             working_since: None,
             percent: 0,
             percent_at: now,
@@ -320,7 +332,7 @@
         };
         let runs =
             self.runs.iter().filter(busy).map(|e| e.retry_at).filter(|_| self.leader_accepted);
-        let unreported = self.runs.iter().any(|entry| !entry.reported);
+        let unreported = self.unreported_runs().next().is_some();
         let expiry = unreported.then(|| self.leases_expire_at()).flatten();
         poll.into_iter().chain(runs).chain(expiry).min()
     }
@@ -332,6 +344,9 @@
         let wait = if quiet && !unconfirmed { self.cfg.long_poll_wait } else { Duration::ZERO };
         let lease_until = self.renewed_lease(now);
         self.leased_until = self.leased_until.max(lease_until.unwrap_or(0));
+        if lease_until.is_some() {
+            self.lease_orders.push(LeaseOrder { order, start: None });
+        }
         // A worker that did not answer may have been restarted. Its new life numbers ends from 1
         // again, so acknowledging the old number would discard ends that are not recorded.
         // For the same reason an end is acknowledged only until the worker has answered that.
@@ -363,6 +378,9 @@
             };
             last_order += 1;
             entry.pending = Some(last_order);
+            if matches!(order, Order::Start { .. }) {
+                self.lease_orders.push(LeaseOrder { order: last_order, start: Some((task, run)) });
+            }
             orders.push((last_order, order));
         }
         for (task, run, at) in &mut self.unknown_runs {
--- a/crates/dispatch/src/session/answers.rs
+++ b/crates/dispatch/src/session/answers.rs
@@ -1,6 +1,7 @@
 //! Handling of a worker's answers to orders.
 
 use super::evidence::MAX_UNWATCHED;
+use super::in_doubt::MAX_ANSWER_DELAY;
 use super::lease::min_elapsed;
 use super::run::Stage;
 use super::{ClockReading, InjectedBug, Session, SessionEvent, BACKOFF};
@@ -9,9 +10,6 @@
 use std::time::Duration;
 use types::Timestamp;
 
-/// An answer may arrive this much later than one that the worker sent after it.
-const MAX_ANSWER_DELAY: Duration = Duration::from_secs(2);
-
 impl Session {
     /// Handles the answer to an order that was sent at time `sent`.
     pub fn answered(
@@ -21,16 +19,13 @@
         answer: OrderAnswer,
         now: Timestamp,
     ) {
-        let answer = match answer {
-            OrderAnswer::Absent => {
-                self.absent_since.get_or_insert(now);
-                OrderAnswer::Silence
-            }
-            answered => answered,
-        };
-        if answer == OrderAnswer::Silence {
+        if answer == OrderAnswer::Absent {
+            self.absent_since.get_or_insert(now);
+        }
+        if !answer.is_answered() {
             self.same_life = false;
         }
+        self.settle_lease_order(order, sent, &answer, now);
         let this_life = self.is_of_this_life(&answer, now);
         if this_life {
             self.last_answer = Some(now);
@@ -52,7 +47,7 @@
     fn is_of_this_life(&self, answer: &OrderAnswer, now: Timestamp) -> bool {
         use RefusalReason::{OtherLife, OtherWorker};
         match answer {
-            OrderAnswer::Silence | OrderAnswer::Absent => return false,
+            answer if !answer.is_answered() => return false,
             OrderAnswer::Refused { why: OtherLife | OtherWorker, .. } => return false,
             OrderAnswer::Done { listing: Some(_), .. } => return true,
             _ => {}
@@ -69,6 +64,7 @@
             OrderAnswer::Done { listing: Some(listing), .. } => {
                 self.accept_leader();
                 self.same_life = true;
+                self.identified = self.clock;
                 self.acknowledged = self.acknowledged.max(upto);
                 self.reconcile(sent, &listing, now);
                 let pause =
@@ -100,7 +96,10 @@
                 self.next_poll = now + self.cfg.idle_poll_interval;
             }
             OrderAnswer::Refused { .. } => self.next_poll = now + self.cfg.retry,
-            OrderAnswer::Silence | OrderAnswer::Absent => {
+            OrderAnswer::Silence
+            | OrderAnswer::Unanswered { .. }
+            | OrderAnswer::Absent
+            | OrderAnswer::NotSent => {
                 self.watched |= self.last_answer.is_some_and(|last| sent <= last + MAX_UNWATCHED);
                 self.timeouts += 1;
                 self.next_poll = now + self.cfg.retry * self.timeouts.min(4);
@@ -125,6 +124,7 @@
     /// Compares the worker's listing with the runs that are assigned to it.
     fn reconcile(&mut self, sent: Timestamp, listing: &RunListing, now: Timestamp) {
         let mut lost = Vec::new();
+        let delay = self.cfg.max_order_delay;
         for entry in &mut self.runs {
             let matches_entry =
                 |task: &TaskRef, run: RunNumber| (entry.task, entry.run) == (*task, run);
@@ -135,6 +135,10 @@
                 listing.running.iter().find(|listed| matches_entry(&listed.task, listed.run));
             if let Some(listed) = listed {
                 (entry.listed, entry.started) = (true, true);
+                // It was this life that has acknowledged the start; an order that got no answer may
+                // still be on its way.
+                entry.in_doubt =
+                    self.unanswered.iter().any(|(task, at)| *task == entry.task && now < *at + delay);
                 entry.working_since.get_or_insert(now);
                 (entry.percent, entry.percent_at) = (listed.percent, now);
                 match entry.stage {
@@ -185,7 +189,7 @@
         entry.pending = None;
         entry.retry_at = now + retry;
         let task = entry.task;
-        match (entry.stage, answer) {
+        match (entry.stage, &answer) {
             (Stage::Starting, OrderAnswer::Done { .. }) => {
                 (entry.stage, entry.since) = (Stage::Running, now);
                 entry.started |= this_life;
@@ -195,15 +199,11 @@
                 (entry.stage, entry.since) = (Stage::Stopped, now);
                 self.next_poll = self.next_poll.min(now + retry);
             }
-            (stage, OrderAnswer::Silence) => {
+            (_, answer) if !answer.is_answered() => {
                 self.timeouts += 1;
-                if stage == Stage::Starting {
-                    self.unanswered.retain(|(_, at)| now < *at + self.cfg.max_order_delay);
-                    self.unanswered.push((task, now));
-                }
                 entry.retry_at = now + retry * self.timeouts.min(4);
             }
-            (_, OrderAnswer::Refused { why, .. }) => self.handle_refusal(i, why, task, now),
+            (_, OrderAnswer::Refused { why, .. }) => self.handle_refusal(i, *why, task, now),
             _ => {}
         }
     }
--- a/crates/dispatch/src/session/in_doubt.rs
+++ b/crates/dispatch/src/session/in_doubt.rs
@@ -1,9 +1,23 @@
 //! Starts that the next life of a worker with the same name may still carry out.
 
+use super::lease::{max_elapsed, LEASE_MARGIN};
 use super::{InjectedBug, Session};
-use jobs::TaskRef;
+use crate::order::{OrderAnswer, OrderId};
+use jobs::{RunNumber, TaskRef};
+use std::time::Duration;
 use types::Timestamp;
 
+/// An answer may arrive this much later than one that the worker sent after it.
+pub(super) const MAX_ANSWER_DELAY: Duration = Duration::from_secs(2);
+
+/// An order with a lease that waits for its answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeaseOrder {
+    pub(super) order: OrderId,
+    /// The run that it starts; `None` for a poll.
+    pub(super) start: Option<(TaskRef, RunNumber)>,
+}
+
 impl Session {
     /// Sets the name of the worker.
     pub fn set_worker(&mut self, worker: &str) {
@@ -20,10 +34,13 @@
         self.leader_accepted
     }
 
-    /// Whether the worker obeys this leader, has no runs that are not assigned to it, and all ends
-    /// that it has reported are recorded.
+    /// Whether the worker obeys this leader and answers, has no runs that are not assigned to it, and
+    /// all ends that it has reported are recorded.
     pub fn is_reconciled(&self) -> bool {
-        self.leader_accepted && self.unknown_runs.is_empty() && self.uncommitted_end.is_none()
+        self.leader_accepted
+            && self.same_life
+            && self.unknown_runs.is_empty()
+            && self.uncommitted_end.is_none()
     }
 
     /// Records that another worker has taken the address. Orders name their worker, so it carries
@@ -32,6 +49,11 @@
         self.replaced = true;
     }
 
+    /// Whether another worker has taken the address.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+
     /// Tasks that the worker's next life with the same name may have started or may still start.
     /// The start order got no answer, or an answer that does not identify the life, or was sent by
     /// an earlier leader.
@@ -47,4 +69,95 @@
         tasks.dedup();
         tasks
     }
+
+    /// Tasks of the runs that the worker's next life may have started or may still start, though
+    /// every lease of this life has expired, and the time until which that life may be running
+    /// them. `None` if there are no such tasks, or the worker answers.
+    pub fn outlasting_starts(
+        &self,
+        runs: &[(TaskRef, RunNumber)],
+        now: Timestamp,
+    ) -> Option<(Vec<TaskRef>, Timestamp)> {
+        let certain = self.same_life || self.replaced;
+        if certain || self.cfg.injected_bug == InjectedBug::ForgetInDoubtStarts {
+            return None;
+        }
+        let in_doubt = self.runs.iter().filter(|entry| entry.in_doubt);
+        let lost = in_doubt.filter(|entry| runs.contains(&(entry.task, entry.run)));
+        let tasks: Vec<TaskRef> = lost.map(|entry| entry.task).collect();
+        let unanswered_end = (!self.lease_orders.is_empty()).then(|| self.last_lease_end(now));
+        let until = unanswered_end.into_iter().fold(self.next_life_lease_end, Timestamp::max);
+        (!tasks.is_empty() && now < until).then_some((tasks, until))
+    }
+
+    /// Longest time that the worker's next life may run a task by an order to an earlier life, from
+    /// when the order was sent.
+    ///
+    /// ```
+    /// use dispatch::{Session, SessionConfig};
+    /// use std::time::Duration;
+    ///
+    /// let longest = Session::longest_doubt(&SessionConfig::default());
+    /// assert!(longest > Duration::from_secs(13 + 6), "a delayed order, and then a lease");
+    /// ```
+    pub fn longest_doubt(cfg: &super::SessionConfig) -> Duration {
+        cfg.max_order_delay + max_elapsed(cfg.lease) + LEASE_MARGIN
+    }
+
+    /// When a lease ends that was taken from an order sent at `sent`, however late.
+    fn last_lease_end(&self, sent: Timestamp) -> Timestamp {
+        sent + Session::longest_doubt(&self.cfg)
+    }
+
+    /// Uses the answer to an order with a lease to find out which life may have taken the lease.
+    pub(super) fn settle_lease_order(
+        &mut self,
+        order: OrderId,
+        sent: Timestamp,
+        answer: &OrderAnswer,
+        now: Timestamp,
+    ) {
+        let Some(i) = self.lease_orders.iter().position(|open| open.order == order) else { return };
+        let LeaseOrder { start, .. } = self.lease_orders.swap_remove(i);
+        let end = match answer {
+            OrderAnswer::Absent | OrderAnswer::NotSent => return,
+            OrderAnswer::Unanswered { connected_for }
+                if self.was_alive_at(now.saturating_sub(*connected_for)) =>
+            {
+                return
+            }
+            OrderAnswer::Silence | OrderAnswer::Unanswered { .. } => {
+                self.unanswered.retain(|(_, at)| now < *at + self.cfg.max_order_delay);
+                self.unanswered.extend(start.map(|(task, _)| (task, now)));
+                self.last_lease_end(sent)
+            }
+            answer if self.names_life(answer, now) => return,
+            _ => now + max_elapsed(self.cfg.lease) + LEASE_MARGIN,
+        };
+        self.next_life_lease_end = self.next_life_lease_end.max(end);
+        for entry in self.runs.iter_mut().filter(|e| Some((e.task, e.run)) == start) {
+            entry.in_doubt = true;
+        }
+    }
+
+    /// Whether a start of the run waits for its answer.
+    pub(super) fn awaits_start(&self, task: TaskRef, run: RunNumber) -> bool {
+        self.lease_orders.iter().any(|open| open.start == Some((task, run)))
+    }
+
+    /// Whether this life has answered an order later than this, so that a connection that was open
+    /// then does not lead to the next life.
+    fn was_alive_at(&self, at: Timestamp) -> bool {
+        self.identified.is_some_and(|last| at + MAX_ANSWER_DELAY <= last.at)
+    }
+
+    /// Whether an answer can only come from this life of the worker. The clock of its next life
+    /// began after the last answer that named this one.
+    fn names_life(&self, answer: &OrderAnswer, now: Timestamp) -> bool {
+        if matches!(answer, OrderAnswer::Done { listing: Some(_), .. }) {
+            return true;
+        }
+        let (Some(clock), Some(last)) = (answer.clock(), self.identified) else { return false };
+        Duration::from_millis(clock) > now.saturating_sub(last.at) + MAX_ANSWER_DELAY
+    }
 }
--- a/crates/dispatch/src/session/lease.rs
+++ b/crates/dispatch/src/session/lease.rs
@@ -1,32 +1,39 @@
 //! Leases: what is granted to a worker, and when its runs count as gone.
 
 use super::{InjectedBug, Session, SessionEvent};
+use jobs::{RunNumber, TaskRef};
 use std::time::Duration;
 use types::Timestamp;
 
 /// Lower bound of the rate of a worker's clock relative to the local one, in thousandths.
 const MIN_CLOCK_RATE_PERMILLE: u32 = 975;
 /// Extra time after a lease has expired before its runs count as gone.
-const LEASE_MARGIN: Duration = Duration::from_millis(150);
+pub(super) const LEASE_MARGIN: Duration = Duration::from_millis(150);
 
 impl Session {
-    /// Reports all runs as lost once every lease for them has certainly expired.
+    /// Reports all runs as lost once every lease for them has certainly expired. A run whose start
+    /// waits for an answer follows when that has come, since it may show who runs the task.
     pub(super) fn expire(&mut self, now: Timestamp) {
-        if self.runs.iter().all(|entry| entry.reported) {
+        if self.leases_expire_at().is_none_or(|at| now < at) {
             return;
         }
-        if self.leases_expire_at().is_none_or(|at| now < at) {
+        let lost: Vec<(TaskRef, RunNumber)> = self.unreported_runs().collect();
+        if lost.is_empty() {
             return;
         }
-        let open = self.runs.iter_mut().filter(|entry| !entry.reported);
-        let lost = open.map(|entry| {
-            entry.reported = true;
-            (entry.task, entry.run)
-        });
-        let lost: Vec<_> = lost.collect();
+        for entry in &mut self.runs {
+            entry.reported |= lost.contains(&(entry.task, entry.run));
+        }
         self.events.push(SessionEvent::Lost(lost));
     }
 
+    /// Runs that are not reported as lost, except those whose starts wait for their answers.
+    pub(super) fn unreported_runs(&self) -> impl Iterator<Item = (TaskRef, RunNumber)> + '_ {
+        let open = self.runs.iter().filter(|entry| !entry.reported);
+        let open = open.map(|entry| (entry.task, entry.run));
+        open.filter(|(task, run)| !self.awaits_start(*task, *run))
+    }
+
     /// When every lease granted by this leader or an earlier one has expired, if the worker does
     /// not answer until then.
     pub(super) fn leases_expire_at(&self) -> Option<Timestamp> {
@@ -72,7 +79,7 @@
 }
 
 /// Upper bound of the local time that elapses during `span` on the worker's clock.
-fn max_elapsed(span: Duration) -> Duration {
+pub(super) fn max_elapsed(span: Duration) -> Duration {
     span * 1_000 / MIN_CLOCK_RATE_PERMILLE
 }
 
--- a/crates/dispatch/src/session/run.rs
+++ b/crates/dispatch/src/session/run.rs
@@ -36,6 +36,8 @@
     pub(super) listed: bool,
     /// The life has acknowledged the start or listed the run.
     pub(super) started: bool,
+    /// The worker's next life may be running it: a start order may have reached that life.
+    pub(super) in_doubt: bool,
     /// When the run was first known to be running.
     pub(super) working_since: Option<Timestamp>,
     /// Progress in percent, and when the worker reported it.
--- a/crates/dispatch/tests/session.rs
+++ b/crates/dispatch/tests/session.rs
@@ -248,3 +248,78 @@
     session.answered(id, START + ms(200), OrderAnswer::Absent, START + ms(201));
     assert!(!session.is_sure_crash());
 }
+
+/// A session with a worker whose host takes no connections, except for one start of run 0 after a
+/// second, which has this answer. Returns when the run was given up, and what
+/// [`Session::outlasting_starts`] said then.
+fn given_up_after(answer: OrderAnswer) -> (Timestamp, Option<(Vec<TaskRef>, Timestamp)>) {
+    let mut session = polled(&[]);
+    session.add_run(task(0), 1, START + ms(3));
+    let mut first = Some(answer);
+    for after in (3..20_000).step_by(5) {
+        let now = START + ms(after);
+        for (id, order) in session.poll(now) {
+            let is_start = matches!(order, Order::Start { .. }) && after > 1_000;
+            let answer = first.take_if(|_| is_start).unwrap_or(OrderAnswer::NotSent);
+            session.answered(id, now, answer, now + ms(1));
+        }
+        for event in session.take_events() {
+            let SessionEvent::Lost(runs) = event else { panic!("{event:?}") };
+            return (now, session.outlasting_starts(&runs, now));
+        }
+    }
+    panic!("the run was never given up");
+}
+
+/// Guards against a task that runs on two workers: the next life of a worker holds a start longer
+/// than the leases of this life last.
+#[test]
+fn a_start_that_the_next_life_may_hold_is_in_doubt_for_a_lease_of_that_life() {
+    // The clock of the next life has begun anew.
+    let by_next_life = OrderAnswer::Done { clock: Some(300), listing: None };
+    let (at, held) = given_up_after(by_next_life);
+    let (tasks, until) = held.expect("the start is in doubt");
+    assert_eq!(tasks, [task(0)]);
+    assert!(at < until && until >= START + ms(1_004 + 6_000 * 100 / 98), "until {until:?}");
+    assert!(until < START + ms(8_000), "until {until:?}");
+    // A connection that was opened after the last listing may lead to the next life, which carries
+    // the order out at last after 12 s.
+    for answer in [OrderAnswer::Silence, OrderAnswer::Unanswered { connected_for: ms(500) }] {
+        let (_, held) = given_up_after(answer.clone());
+        let (tasks, until) = held.expect("the start is in doubt");
+        assert_eq!(tasks, [task(0)], "{answer:?}");
+        assert!(until >= START + ms(1_003 + 12_000 + 6_000 * 100 / 98), "{answer:?}: until {until:?}");
+    }
+}
+
+/// Guards against tasks that are held back without need.
+#[test]
+fn a_start_that_no_other_life_can_hold_is_not_in_doubt() {
+    let by_this_life = OrderAnswer::Done { clock: Some(6_200), listing: None };
+    let old_connection = OrderAnswer::Unanswered { connected_for: ms(5_000) };
+    for answer in [by_this_life, old_connection, OrderAnswer::NotSent, OrderAnswer::Absent] {
+        let (at, held) = given_up_after(answer.clone());
+        assert!(at < START + ms(9_000), "{answer:?}: given up at {at:?}");
+        assert_eq!(held, None, "{answer:?}");
+    }
+}
+
+/// Guards against a start that is given up while its answer is on its way, which may show that the
+/// next life has accepted it.
+#[test]
+fn a_run_is_not_given_up_before_its_last_start_was_answered() {
+    let mut session = polled(&[]);
+    session.add_run(task(0), 1, START + ms(3));
+    let orders = session.poll(START + ms(3));
+    let (start, _) = orders.iter().find(|(_, o)| matches!(o, Order::Start { .. })).unwrap();
+    let (hold, _) = only_order(&mut session, START + ms(600));
+    session.answered(hold, START + ms(600), OrderAnswer::Silence, START + ms(1_400));
+    session.poll(START + ms(9_000));
+    assert_eq!(session.take_events(), []);
+    let by_next_life = OrderAnswer::Done { clock: Some(300), listing: None };
+    session.answered(*start, START + ms(3), by_next_life, START + ms(9_001));
+    session.poll(START + ms(9_002));
+    assert_eq!(session.take_events(), [SessionEvent::Lost(vec![(task(0), 1)])]);
+    let held = session.outlasting_starts(&[(task(0), 1)], START + ms(9_002));
+    assert!(held.is_some_and(|(_, until)| until >= START + ms(15_000)));
+}
--- a/crates/jobs/src/state/crashes.rs
+++ b/crates/jobs/src/state/crashes.rs
@@ -46,6 +46,11 @@
         self.crashes.silent.keys().copied()
     }
 
+    /// Runs that a silent life may have been executing; none if the life is not silent.
+    pub fn silent_tasks(&self, life: LifeId) -> &[(TaskRef, RunNumber)] {
+        self.crashes.silent.get(&life).map_or(&[], Vec::as_slice)
+    }
+
     pub(super) fn worker_silent(&mut self, life: LifeId, tasks: Vec<(TaskRef, RunNumber)>) {
         if self.lives.contains_key(&life) {
             let known = self.crashes.silent.get_or_insert_with(life, Vec::new);
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -53,6 +53,7 @@
         else {
             return;
         };
+        let replaced = session.is_replaced().then(|| session.worker().to_string());
         let command = if known.info.draining {
             Command::LifeOver { life }
         } else {
@@ -62,6 +63,9 @@
             Command::WorkerCrashed { life, runs, at: now }
         };
         self.propose(&command, OnApplied::Nothing);
+        if let Some(worker) = replaced {
+            self.release_starts_of_replaced(&worker);
+        }
     }
 
     /// Records which of the lost runs a silent worker may have started: only its next sign of life
@@ -144,7 +148,9 @@
     };
     let mut runs: Vec<CrashedRun> = evidence.iter().map(crashed).collect();
     let held = state.in_doubt_starts().iter().filter(|held| held.worker == session.worker());
-    for held in held {
+    let silent = state.silent_tasks(session.life());
+    // The crash is counted for the tasks of a silent life when the command is applied.
+    for held in held.filter(|held| !silent.iter().any(|(task, _)| *task == held.task)) {
         if !runs.iter().any(|known| known.task == held.task) {
             runs.push(CrashedRun {
                 task: held.task,
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -105,8 +105,7 @@
             let command = match event {
                 SessionEvent::Ended(ends) => Command::Ended { life, ends, at: now },
                 SessionEvent::Lost(runs) => {
-                    log::warn!(life = life, runs = runs.len();
-                        "runs given up: their worker reported no end");
+                    self.hold_outlasting_starts(life, &runs);
                     self.record_if_silent(life, &runs);
                     Command::Lost { life, runs }
                 }
@@ -230,7 +229,7 @@
         let Some(leader) = &mut group.leader else { return };
         let Some(open) = leader.orders.remove(&number) else { return };
         let OpenOrder { life, order, sent, .. } = open;
-        if !matches!(answer, OrderAnswer::Silence | OrderAnswer::Absent) {
+        if answer.is_answered() {
             if let Some(life) = group.state.life(life) {
                 leader.zones.record_answer(&life.info.zone, now);
             }
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -78,9 +78,9 @@
     /// Workers whose lives ended in this step, with tasks that their next lives may still start.
     pub(crate) ended_lives: Vec<(WorkerId, Vec<TaskRef>)>,
     pub(crate) zones: Zones,
-    /// When this leader first saw the held tasks of each worker and end of a life. The time in the
-    /// log is of another host's clock.
-    pub(crate) held_since: SortedMap<(WorkerId, Timestamp), Timestamp>,
+    /// Until when tasks are held back, by their worker and the time in the log. That time may be of
+    /// another host's clock; a leader that did not write it counts from when it first saw it.
+    pub(crate) held_until: SortedMap<(WorkerId, Timestamp), Timestamp>,
     /// Whether a proposed release of held tasks is not applied yet.
     pub(crate) resolution_in_flight: bool,
     /// When this leader got the last heartbeat of each life; initially when its session began.
@@ -120,7 +120,7 @@
             stop_time: cfg.stop_time,
             ended_lives: Vec::new(),
             zones: Zones::default(),
-            held_since: SortedMap::default(),
+            held_until: SortedMap::default(),
             resolution_in_flight: false,
             last_heartbeat: SortedMap::default(),
             heartbeat_clocks: SortedMap::default(),
--- a/crates/scheduler/src/worker_restart.rs
+++ b/crates/scheduler/src/worker_restart.rs
@@ -7,7 +7,8 @@
 //! - Orders to each life have a fence of their own. Once the new life has answered an order, it
 //!   refuses those to the previous one.
 //! - Tasks that the new life may have started before that are held back, also under later leaders,
-//!   until the worker has answered and stopped them.
+//!   until the worker has answered and stopped them. That holds too where nobody has heard of a new
+//!   life: its leases begin when it accepts a start, and outlast those of the life before.
 //! - A worker that was silent is not told which ends it may forget until it has said which life it
 //!   is.
 //!
@@ -15,13 +16,9 @@
 
 use crate::group::OnApplied;
 use crate::node::Node;
-use jobs::{Command, InDoubtStart, LifeId, TaskRef};
-use std::time::Duration;
-use types::{SortedMap, Timestamp, WorkerId};
-
-/// An order without an answer is carried out within this time or never. After that, tasks are no
-/// longer held back for a worker that has not come back.
-const MAX_ORDER_DELAY: Duration = Duration::from_secs(13);
+use dispatch::Session;
+use jobs::{Command, InDoubtStart, LifeId, RunNumber, TaskRef};
+use types::{Timestamp, WorkerId};
 
 impl Node {
     /// Before a life ends, holds back the tasks that orders to it may start in the worker's next
@@ -44,6 +41,42 @@
         self.propose(&Command::StartsInDoubt { worker, tasks, at: now }, OnApplied::Nothing);
     }
 
+    /// Before runs are given up because the leases of their worker's life have expired, holds back the
+    /// tasks that the worker's next life may be running longer.
+    pub(crate) fn hold_outlasting_starts(&mut self, life: LifeId, lost: &[(TaskRef, RunNumber)]) {
+        let now = self.now;
+        let Some(leader) = self.leader_mut() else { return };
+        let Some(session) = leader.sessions.get(&life) else { return };
+        let (worker, answers) = (session.worker().to_string(), session.is_answering());
+        let silent_ms = session.last_answer().map(|at| now.saturating_sub(at).as_millis() as u64);
+        let held = session.outlasting_starts(lost, now);
+        log::warn!(worker = worker.as_str(), life = life, runs = lost.len(), answers = answers,
+            silent_ms = silent_ms, held = held.as_ref().map_or(0, |(tasks, _)| tasks.len()),
+            held_ms = held.as_ref().map(|(_, until)| until.saturating_sub(now).as_millis() as u64);
+            "runs given up: their worker reported no end");
+        let Some((tasks, until)) = held else { return };
+        let command = Command::StartsInDoubt { worker: worker.clone(), tasks, at: now };
+        if self.propose(&command, OnApplied::Nothing) {
+            if let Some(leader) = self.leader_mut() {
+                leader.held_until.insert((worker, now), until);
+            }
+        }
+    }
+
+    /// Releases the tasks held back for a worker at whose address there is another one now: orders
+    /// name their worker.
+    pub(crate) fn release_starts_of_replaced(&mut self, worker: &WorkerId) {
+        let now = self.now;
+        let Some(group) = &self.group else { return };
+        let held = group.state.in_doubt_starts().iter().filter(|start| start.worker == *worker);
+        if let Some(last) = held.map(|start| start.at).max() {
+            log::info!(worker = worker.as_str(); "held tasks released: the worker was replaced");
+            let upto = now.max(last);
+            let command = Command::StartsResolved { worker: worker.clone(), upto };
+            self.propose(&command, OnApplied::Nothing);
+        }
+    }
+
     /// Holds back tasks that were placed while the end of their worker's life was being committed.
     /// Later placements are checked against the held tasks when they are applied.
     pub(crate) fn hold_in_doubt_of_ended(&mut self) {
@@ -74,12 +107,14 @@
             return;
         }
         let key = |start: &InDoubtStart| (start.worker.clone(), start.at);
-        let mut held = SortedMap::default();
+        let longest = Session::longest_doubt(&self.cfg.session);
         for start in group.state.in_doubt_starts() {
-            let since = leader.held_since.get(&key(start)).copied().unwrap_or(now);
-            held.insert(key(start), since);
+            leader.held_until.get_or_insert_with(key(start), || now + longest);
         }
-        leader.held_since = held;
+        let is_held = |known: &(WorkerId, Timestamp)| {
+            group.state.in_doubt_starts().iter().any(|start| key(start) == *known)
+        };
+        leader.held_until.retain(|known, until| now < *until || is_held(known));
         let is_reconciled = |worker: &str| {
             let lives = group.state.lives().filter(|life| life.info.worker == worker);
             let mut sessions = lives.filter_map(|life| leader.sessions.get(&life.id));
@@ -88,8 +123,8 @@
         let mut resolved: Vec<(WorkerId, Timestamp)> = Vec::new();
         for start in group.state.in_doubt_starts() {
             let reconciled = is_reconciled(&start.worker);
-            let since = leader.held_since.get(&key(start)).copied().unwrap_or(now);
-            if reconciled || now >= since + MAX_ORDER_DELAY {
+            let until = leader.held_until.get(&key(start)).copied().unwrap_or(now + longest);
+            if reconciled || now >= until {
                 let upto = if reconciled { now.max(start.at) } else { start.at };
                 resolved.push((start.worker.clone(), upto));
             }
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -153,6 +153,8 @@
     pub(crate) heartbeat_host: Option<usize>,
     /// Percentage of orders that get no answer and are carried out late.
     pub(crate) late_orders: u32,
+    /// Shortest duration of a run, in milliseconds.
+    pub(crate) min_duration: u64,
     pub(crate) jobs: BTreeMap<JobId, JobRecord>,
     requests: BTreeMap<JobId, JobRequest>,
     /// Calls without an answer, by number, with the time at which they were made.
@@ -255,6 +257,7 @@
             cut_workers: BTreeSet::new(),
             heartbeat_host: None,
             late_orders: 0,
+            min_duration: 0,
             jobs: BTreeMap::new(),
             requests: BTreeMap::new(),
             calls: BTreeMap::new(),
--- a/crates/scheduler/tests/world/runs.rs
+++ b/crates/scheduler/tests/world/runs.rs
@@ -139,7 +139,7 @@
             envelope.born,
             envelope.order
         );
-        let duration = self.rng.u64(100..1_500);
+        let duration = self.rng.u64(100..1_500).max(self.min_duration);
         let fails = self.rng.u32(..100) < 3;
         let mut started = None;
         let (requests, deadly) = (&self.requests, &self.crashes.deadly);
