Take no run for lost whose end may be beyond those of a listing

Cause: a worker lists at most 500 ends at a time. Session::reconcile took each run for lost that the worker had acknowledged and that stood neither under the running ones nor under the ended ones, also where the list of ends was full. A worker that was cut off for 4.5 s had some 800 to report. Ruled out: expired leases (the record counts no lapsed run), ends recorded too late (they were recorded some milliseconds after the same tasks had been placed again).

Evidence: workers of the simulated world now list three ends at a time, in all histories.

Change: a listing says whether it holds all ends, which the adapter knows; only a complete one proves that a run is gone. The next polls bring the rest, as each acknowledges what was recorded.

Related paths, by reading: a worker's running ones are listed whole; the end of a lease does not look at listings; the native cell draws no conclusion from a run that a worker doesn't name.

--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -54,8 +54,10 @@
 pub struct RunListing {
     /// Runs that are running.
     pub running: Vec<ListedRun>,
-    /// Ends that have not been acknowledged.
+    /// Ends that have not been acknowledged, the earliest first.
     pub ended: Vec<End>,
+    /// Whether there are no other such ends. A worker lists only so many at a time.
+    pub complete: bool,
 }
 
 /// Why a worker refused an order.
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -13,8 +13,8 @@
 pub use run::{RunStatus, RunTraits};
 
 use crate::order::{Order, OrderId};
-use jobs::{End, LifeId, RunNumber, TaskRef};
 use in_doubt::LeaseOrder;
+use jobs::{End, LifeId, RunNumber, TaskRef};
 use run::{RunEntry, Stage};
 use std::time::Duration;
 use types::{JobId, Timestamp};
--- a/crates/dispatch/src/session/answers.rs
+++ b/crates/dispatch/src/session/answers.rs
@@ -137,8 +137,10 @@
                 (entry.listed, entry.started) = (true, true);
                 // It was this life that has acknowledged the start; an order that got no answer may
                 // still be on its way.
-                entry.in_doubt =
-                    self.unanswered.iter().any(|(task, at)| *task == entry.task && now < *at + delay);
+                entry.in_doubt = self
+                    .unanswered
+                    .iter()
+                    .any(|(task, at)| *task == entry.task && now < *at + delay);
                 entry.working_since.get_or_insert(now);
                 (entry.percent, entry.percent_at) = (listed.percent, now);
                 match entry.stage {
@@ -151,10 +153,10 @@
             }
             // The run is not listed. That proves that it is gone only if the worker acknowledged
             // its start or stop before this poll was sent: an unanswered start may still be
-            // carried out.
+            // carried out. Its end may also be among those that will be listed later.
             let acknowledged = matches!(entry.stage, Stage::Running | Stage::Stopped)
                 || self.cfg.injected_bug == InjectedBug::TrustAbsence;
-            if acknowledged && entry.since < sent && !entry.reported {
+            if listing.complete && acknowledged && entry.since < sent && !entry.reported {
                 entry.reported = true;
                 lost.push((entry.task, entry.run));
             }
--- a/crates/dispatch/tests/session.rs
+++ b/crates/dispatch/tests/session.rs
@@ -35,6 +35,7 @@
     let listing = RunListing {
         running: running.iter().map(listed).collect(),
         ended: ended.iter().map(end).collect(),
+        complete: true,
     };
     OrderAnswer::Done { clock: Some(clock), listing: Some(listing) }
 }
@@ -288,7 +289,10 @@
         let (_, held) = given_up_after(answer.clone());
         let (tasks, until) = held.expect("the start is in doubt");
         assert_eq!(tasks, [task(0)], "{answer:?}");
-        assert!(until >= START + ms(1_003 + 12_000 + 6_000 * 100 / 98), "{answer:?}: until {until:?}");
+        assert!(
+            until >= START + ms(1_003 + 12_000 + 6_000 * 100 / 98),
+            "{answer:?}: until {until:?}"
+        );
     }
 }
 
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -80,6 +80,7 @@
         RunListing {
             running: self.runs.iter().map(listed).collect(),
             ended: self.unacknowledged_ends.clone(),
+            complete: true,
         }
     }
 }
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) mod quotas;
 pub(crate) mod replacements;
 mod runs;
-mod worker;
+pub(crate) mod worker;
 
 use consensus::{Entry, HardState, Ready, Restored, Snapshot, Tuning};
 use crashes::Crashes;
--- a/crates/scheduler/tests/world/worker.rs
+++ b/crates/scheduler/tests/world/worker.rs
@@ -44,6 +44,9 @@
 /// A capacity that has shrunk counts after the time in which it is made known: 3 s and a heartbeat.
 const SHRINK_NOTICE: u64 = 4_500;
 
+/// A worker lists this many ends at a time. Platforms list some hundreds.
+pub(crate) const ENDS_PER_LISTING: usize = 3;
+
 /// Longest lease, in milliseconds on the worker's clock. A longer one is shortened to this.
 const MAX_LEASE: u64 = 6_000;
 
@@ -188,6 +191,8 @@
     fn list_runs(&self) -> RunListing {
         let listed =
             |(task, run): &(TaskRef, RunNumber)| ListedRun { task: *task, run: *run, percent: 50 };
-        RunListing { running: self.runs.keys().map(listed).collect(), ended: self.ended.clone() }
+        let ended: Vec<End> = self.ended.iter().take(ENDS_PER_LISTING).cloned().collect();
+        let complete = ended.len() < ENDS_PER_LISTING;
+        RunListing { running: self.runs.keys().map(listed).collect(), ended, complete }
     }
 }
