Refuse heartbeats with numbers and ports that no worker can have

Report of other operators: machines that read one odd entry (deep nesting, a number too large, a port out of range) ended again and again, or followed the list no longer. Looked for here, with tests first:

- Deep nesting: no fault.
A million levels in any field are refused or, in a field that nobody reads, skipped.
- Ports: 65,536 and more were refused, port 0 was taken for an address.
- Numbers: born, clockMs and the capacity were taken up to 2^64 - 1.
With a clock near that, a leader of the test build ended (`attempt to add with overflow`, session/capacity.rs); a release build computes a wrong lease instead.
A start time near that registers a worker that the next sound heartbeats can't replace.

Change: WorkerHeartbeat::check, in the adapter and again on the host that leads, so that a heartbeat of another host passes it too; reports of capacity are checked for the clock. The error names field and cause. Sums of resources saturate: a job may ask for 2^64 - 1 of one.

--- a/crates/daemon/tests/on_platform.rs
+++ b/crates/daemon/tests/on_platform.rs
@@ -256,3 +256,41 @@
     let status = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
     assert!(status.success());
 }
+
+/// Guards against a process that ends, or that hears its workers no longer, after an odd heartbeat.
+#[test]
+fn an_odd_heartbeat_is_refused_and_the_next_ones_are_heard() {
+    const WORKER: &str = r#"{"service":"s","addr":"127.0.0.1:9","zone":"a","state":"ready",
+        "born":1790000000000,"capacity":{"cpu":1000,"memMb":1000,"gpu":0},"labels":["a","r1"],
+        "clockMs":482113}"#;
+    block_on(async {
+        let mut process = start();
+        process.configure().await;
+        let put = |name: &str, body: String| {
+            let (control, path) = (process.control(), format!("/api/instances/{name}"));
+            async move { control.send(Method::Put, &path, &[], body.into_bytes()).await.unwrap() }
+        };
+        let odd = [
+            ("addr", "127.0.0.1:9", "127.0.0.1:99999".to_string()),
+            ("addr", "127.0.0.1:9", "127.0.0.1:0".to_string()),
+            ("clock", "482113", "1e300".to_string()),
+            ("clock", "482113", u64::MAX.to_string()),
+            ("born", "1790000000000", u64::MAX.to_string()),
+            ("cpu", ":1000,\"mem", format!(":{},\"mem", u64::MAX)),
+            ("labels", "[\"a\",\"r1\"]", "[".repeat(1 << 20)),
+            ("state", "\"ready\"", "{\"a\":".repeat(1 << 18)),
+        ];
+        for (field, part, value) in odd {
+            for name in ["i-1", "i-other"] {
+                assert!(WORKER.contains(part), "{part}");
+                let reply = put(name, WORKER.replace(part, &value)).await;
+                assert_eq!(reply.status, 400, "{field}: {}", reply.text());
+                assert!(reply.text().contains(field), "{field}: {}", reply.text());
+            }
+            let reply = put("i-1", WORKER.to_string()).await;
+            assert_eq!(reply.status, 200, "after an odd {field}: {}", reply.text());
+        }
+        assert_eq!(process.post("00000000000000a4", JOB.as_bytes()).await.status, 200);
+        assert!(process.child.try_wait().unwrap().is_none(), "the process has ended");
+    });
+}
--- a/crates/dispatch/tests/session.rs
+++ b/crates/dispatch/tests/session.rs
@@ -264,10 +264,11 @@
             let answer = first.take_if(|_| is_start).unwrap_or(OrderAnswer::NotSent);
             session.answered(id, now, answer, now + ms(1));
         }
-        for event in session.take_events() {
-            let SessionEvent::Lost(runs) = event else { panic!("{event:?}") };
-            return (now, session.outlasting_starts(&runs, now));
+        let events = session.take_events();
+        if let [SessionEvent::Lost(runs)] = &events[..] {
+            return (now, session.outlasting_starts(runs, now));
         }
+        assert_eq!(events, []);
     }
     panic!("the run was never given up");
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -51,7 +51,7 @@
 pub use crashes::{CrashedRun, TaskCrashes};
 pub use difference::{difference, Difference};
 pub use job::{Job, Occurrence, Phase, Progress, StepState, Task};
-pub use life::{Life, Run, WorkerInfo};
+pub use life::{check_reported_millis, Life, Run, WorkerInfo, MAX_REPORTED_MILLIS};
 pub use model::{
     End, EndKind, InDoubtStart, JobRequest, LifeId, Placement, QueueId, RunNumber, Schedule,
     StepRef, StepSpec, TaskRef, MAX_STEPS, MAX_TASKS_PER_STEP,
--- a/crates/jobs/src/life.rs
+++ b/crates/jobs/src/life.rs
@@ -2,8 +2,14 @@
 
 use crate::model::{LifeId, RunNumber, TaskRef};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use types::{ResourceVector, ServiceName, WorkerId, ZoneName};
 
+/// Upper bound of the times that workers report, in milliseconds: the year 10,000, for a time of day.
+pub const MAX_REPORTED_MILLIS: u64 = 253_402_300_800_000;
+/// Upper bound of each amount in a worker's capacity.
+const MAX_CAPACITY: u64 = 1 << 40;
+
 /// What a worker reports about itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerInfo {
@@ -26,12 +32,52 @@
 }
 
 impl WorkerInfo {
+    /// Validates what can't be true of any worker. The error names the field and the cause.
+    ///
+    /// ```
+    /// let info = jobs::WorkerInfo {
+    ///     worker: "w1".into(),
+    ///     addr: "10.1.0.9:0".into(),
+    ///     ..jobs::WorkerInfo::default()
+    /// };
+    /// assert_eq!(info.check().unwrap_err(), r#"addr: "10.1.0.9:0" is no address with a port"#);
+    /// ```
+    pub fn check(&self) -> Result<(), String> {
+        if self.worker.is_empty() {
+            return Err("worker: must not be empty".to_string());
+        }
+        if !self.addr.parse::<SocketAddr>().is_ok_and(|addr| addr.port() != 0) {
+            return Err(format!("addr: {:?} is no address with a port", self.addr));
+        }
+        check_reported_millis("born", self.born)?;
+        let ResourceVector { cpu, memory, gpu } = self.capacity;
+        for (name, amount) in [("cpu", cpu), ("memory", memory), ("gpu", gpu)] {
+            if amount > MAX_CAPACITY {
+                return Err(format!("capacity.{name}: {amount} is more than {MAX_CAPACITY}"));
+            }
+        }
+        Ok(())
+    }
+
     /// The worker's rack, which is its last label; empty if it has none.
     pub fn rack(&self) -> &str {
         self.labels.last().map_or("", String::as_str)
     }
 }
 
+/// Validates a time that a worker reports, in milliseconds. The error names the field and the cause.
+///
+/// ```
+/// assert!(jobs::check_reported_millis("clock", 86_400_000).is_ok());
+/// assert!(jobs::check_reported_millis("clock", u64::MAX).unwrap_err().starts_with("clock: "));
+/// ```
+pub fn check_reported_millis(field: &str, millis: u64) -> Result<(), String> {
+    match millis > MAX_REPORTED_MILLIS {
+        true => Err(format!("{field}: {millis} ms is more than {MAX_REPORTED_MILLIS} ms")),
+        false => Ok(()),
+    }
+}
+
 /// A run that is assigned to a life and has not ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
--- a/crates/scheduler/src/call.rs
+++ b/crates/scheduler/src/call.rs
@@ -15,6 +15,25 @@
     pub clock: Option<u64>,
 }
 
+impl WorkerHeartbeat {
+    /// Validates what can't be true of any worker: the heartbeat may come from another writer. The
+    /// error names the field and the cause.
+    ///
+    /// ```
+    /// let info = jobs::WorkerInfo {
+    ///     worker: "w1".into(),
+    ///     addr: "10.1.0.9:80".into(),
+    ///     ..jobs::WorkerInfo::default()
+    /// };
+    /// let heartbeat = scheduler::WorkerHeartbeat { info, clock: Some(u64::MAX) };
+    /// assert!(heartbeat.check().unwrap_err().starts_with("clock: "));
+    /// ```
+    pub fn check(&self) -> Result<(), String> {
+        self.info.check()?;
+        self.clock.map_or(Ok(()), |clock| jobs::check_reported_millis("clock", clock))
+    }
+}
+
 /// A call to the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Call {
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -300,6 +300,12 @@
     }
 
     fn on_worker_heartbeat(&mut self, origin: Origin, heartbeat: WorkerHeartbeat) {
+        if let Err(cause) = heartbeat.check() {
+            log::warn!(worker = heartbeat.info.worker.as_str(), cause = cause.as_str();
+                "heartbeat refused");
+            self.answer(origin, Err(Refusal::new(RefusalKind::BadInput, cause)));
+            return;
+        }
         let WorkerHeartbeat { info, clock } = heartbeat;
         let now = self.now;
         let Some(group) = &mut self.group else { return };
--- a/crates/scheduler/src/capacity_reports.rs
+++ b/crates/scheduler/src/capacity_reports.rs
@@ -130,6 +130,10 @@
     /// Uses a report that another member has got, unless the state holds another capacity.
     pub(crate) fn use_report(&mut self, state: &State, report: CapacityReport, now: Timestamp) {
         let CapacityReport { life, clock, capacity } = report;
+        if let Err(cause) = jobs::check_reported_millis("clock", clock) {
+            log::warn!(life = life, cause = cause.as_str(); "capacity report ignored");
+            return;
+        }
         if state.life(life).is_none_or(|life| life.info.capacity != capacity) {
             return;
         }
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -412,6 +412,17 @@
         held.unwrap_or_default().iter().map(|start| start.worker.clone()).collect()
     }
 
+    /// Names and start times of the workers in the state of a host, sorted.
+    #[allow(dead_code)] // Not all tests that share this module use it.
+    pub(crate) fn known_workers(&self, host: usize) -> Vec<(String, u64)> {
+        let state = self.hosts[host].node.as_ref().and_then(Node::state);
+        let lives = state.into_iter().flat_map(jobs::State::lives);
+        let mut known: Vec<(String, u64)> =
+            lives.map(|life| (life.info.worker.clone(), life.info.born)).collect();
+        known.sort_unstable();
+        known
+    }
+
     /// Makes a client's call at a host.
     pub(crate) fn call(&mut self, host: usize, call: Call) {
         self.last_call += 1;
--- a/crates/types/src/resource_vector.rs
+++ b/crates/types/src/resource_vector.rs
@@ -24,12 +24,17 @@
         self.cpu <= free.cpu && self.memory <= free.memory && self.gpu <= free.gpu
     }
 
-    /// The sum of both amounts.
+    /// The sum of both amounts, saturating for each resource.
+    ///
+    /// ```
+    /// let most = types::ResourceVector { cpu: u64::MAX, ..types::ResourceVector::default() };
+    /// assert_eq!(most.plus(&most), most);
+    /// ```
     pub fn plus(&self, other: &ResourceVector) -> ResourceVector {
         ResourceVector {
-            cpu: self.cpu + other.cpu,
-            memory: self.memory + other.memory,
-            gpu: self.gpu + other.gpu,
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            gpu: self.gpu.saturating_add(other.gpu),
         }
     }
 
