A start that was never sent keeps no run

Cause: an order whose job is gone by the time it is to be sent was dropped without a word to its session, where it waited for an answer for ever. Since a run is given up only after the answer to its start, so that such a run would have kept its place on a worker that is gone. Change: the leader withdraws such an order from its session. Evidence: the new test plays a session whose starts are all withdrawn; the run is given up in under 9 s.

--- a/crates/dispatch/src/session/in_doubt.rs
+++ b/crates/dispatch/src/session/in_doubt.rs
@@ -140,6 +140,15 @@
         }
     }
 
+    /// Handles that an order could not be sent: what it was about is gone.
+    pub fn withdraw(&mut self, order: OrderId, now: Timestamp) {
+        self.lease_orders.retain(|open| open.order != order);
+        for entry in self.runs.iter_mut().filter(|entry| entry.pending == Some(order)) {
+            (entry.pending, entry.retry_at) = (None, now + self.cfg.retry);
+        }
+        self.set_wakeup();
+    }
+
     /// Whether a start of the run waits for its answer.
     pub(super) fn awaits_start(&self, task: TaskRef, run: RunNumber) -> bool {
         self.lease_orders.iter().any(|open| open.start == Some((task, run)))
--- a/crates/dispatch/tests/session.rs
+++ b/crates/dispatch/tests/session.rs
@@ -328,3 +328,24 @@
     let held = session.outlasting_starts(&[(task(0), 1)], START + ms(9_002));
     assert!(held.is_some_and(|(_, until)| until >= START + ms(15_000)));
 }
+
+/// Guards against a run that is never given up because its start was never sent.
+#[test]
+fn a_start_that_was_withdrawn_does_not_keep_its_run() {
+    let mut session = polled(&[]);
+    session.add_run(task(0), 1, START + ms(3));
+    let mut lost = None;
+    for after in (3..20_000).step_by(5) {
+        let now = START + ms(after);
+        for (id, order) in session.poll(now) {
+            match order {
+                Order::Start { .. } => session.withdraw(id, now),
+                _ => session.answered(id, now, OrderAnswer::Silence, now + ms(1)),
+            }
+        }
+        if session.take_events() == [SessionEvent::Lost(vec![(task(0), 1)])] {
+            lost.get_or_insert(now);
+        }
+    }
+    assert!(lost.is_some_and(|at| at < START + ms(9_000)), "given up at {lost:?}");
+}
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -156,7 +156,12 @@
         let Some(leader) = &mut group.leader else { return };
         for (life, id, order) in orders {
             let envelope = order_envelope(&group.state, leader, life, order);
-            let Some(envelope) = envelope.map(Box::new) else { continue };
+            let Some(envelope) = envelope.map(Box::new) else {
+                if let Some(session) = leader.sessions.get_mut(&life) {
+                    session.withdraw(id, now);
+                }
+                continue;
+            };
             leader.last_order += 1;
             let number = leader.last_order;
             let answer_expected = now + envelope.timeout.saturating_sub(ORDER_TIMEOUT);
