Log and count workers that are closed to other jobs beside suspects

The leader's log ends with `job accepted`, and `usable_workers` is 8 of 8: neither says whether capacity, reports, advice or suspects hold the jobs back.

Change: the gauge `closed_workers`, and one line a second at most with the first step that waits while workers are kept for suspects.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -152,6 +152,7 @@
             ("waiting_steps", stats.ready_steps as u64),
             ("usable_workers", stats.usable_workers as u64),
             ("unreported_workers", stats.unreported_workers as u64),
+            ("closed_workers", stats.closed_workers as u64),
             ("workers", stats.workers as u64),
         ] {
             set(&self.gauges, kind, value);
--- a/crates/placement/src/steps/isolation.rs
+++ b/crates/placement/src/steps/isolation.rs
@@ -53,6 +53,21 @@
         }
     }
 
+    /// Whether the worker takes runs of one job only.
+    ///
+    /// ```
+    /// use placement::steps::Isolation;
+    /// use std::time::Duration;
+    /// let mut isolation = Isolation::default();
+    /// isolation.add(7, Duration::from_secs(1), false);
+    /// assert!(!isolation.is_closed());
+    /// isolation.add(7, Duration::from_secs(1), true);
+    /// assert!(isolation.is_closed());
+    /// ```
+    pub fn is_closed(&self) -> bool {
+        self.observed.is_some()
+    }
+
     /// Whether a run of `job` may start beside what is there.
     pub fn admits(&self, job: JobId, suspect: bool) -> bool {
         let only_own = self.recent == Recent::None || self.recent == Recent::OfJob(job);
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -11,8 +11,8 @@
 use crate::leader::Leader;
 use crate::node::Node;
 use dispatch::{RunEvidence, RunStatus, Session};
-use jobs::{Command, CrashedRun, LifeId, RunNumber, State, TaskRef, WorkerInfo};
-use placement::steps::Isolation;
+use jobs::{Command, CrashedRun, LifeId, RunNumber, State, StepRef, TaskRef, WorkerInfo};
+use placement::steps::{Isolation, WorkerCapacity};
 use std::time::Duration;
 use types::Timestamp;
 
@@ -98,6 +98,31 @@
         }
     }
 
+    /// Number of workers that take no other job, since a suspect has only just begun there.
+    pub(crate) fn closed_workers(&self, state: &State, now: Timestamp) -> usize {
+        let is_closed = |life: &&LifeId| self.isolation(state, **life, now).is_closed();
+        self.sessions.keys().filter(is_closed).count()
+    }
+
+    /// Logs steps that a pass could not place while workers took one job only.
+    pub(crate) fn log_held_back(
+        &mut self,
+        unplaced: &[StepRef],
+        workers: &[WorkerCapacity<'_>],
+        now: Timestamp,
+    ) {
+        let (Some(step), true) = (unplaced.first(), now >= self.next_held_back_line) else {
+            return;
+        };
+        let closed = workers.iter().filter(|worker| worker.isolation.is_closed()).count();
+        if closed > 0 {
+            self.next_held_back_line = now + HELD_BACK_LINE_INTERVAL;
+            log::info!(job = hex(step.job).as_str(), step = step.step, waiting = unplaced.len(),
+                closed = closed, workers = workers.len();
+                "steps wait while workers are kept for suspects");
+        }
+    }
+
     /// Which jobs have runs on a worker that may still crash it.
     pub(crate) fn isolation(&self, state: &State, life: LifeId, now: Timestamp) -> Isolation {
         let mut isolation = Isolation::default();
@@ -164,6 +189,8 @@
     runs
 }
 
+/// Steps that wait while workers are closed to them are logged once in this time.
+const HELD_BACK_LINE_INTERVAL: Duration = Duration::from_secs(1);
 /// Limit on the suspects named in a log line.
 const MAX_LOGGED_SUSPECTS: usize = 8;
 
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -90,6 +90,7 @@
     /// The worker's clock in a heartbeat that changes the replicated state, by the worker's name and
     /// start, until the change is applied.
     pub(crate) changing: SortedMap<(WorkerId, u64), Option<u64>>,
+    pub(crate) next_held_back_line: Timestamp,
 }
 
 impl Leader {
@@ -125,6 +126,7 @@
             last_heartbeat: SortedMap::default(),
             heartbeat_clocks: SortedMap::default(),
             changing: SortedMap::default(),
+            next_held_back_line: now,
         };
         for life in state.lives() {
             leader.begin_session(state, life.id, cfg, now);
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -327,6 +327,7 @@
                 stats.usable_workers = leader.usable_workers(self.now);
                 stats.advice = leader.advice_usage();
                 stats.unreported_workers = leader.unreported_workers(self.now);
+                stats.closed_workers = leader.closed_workers(&group.state, self.now);
             }
         }
         stats
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -124,6 +124,7 @@
         let suspect = |step: &StepRef| demands.iter().any(|d| d.suspect && d.step == *step);
         let decided =
             plan(&mut workers, &claimed, &demands, rooms, now, |life| self.reclaimable(life, now));
+        self.log_held_back(&decided.unplaced, &workers, now);
         self.update_claims(&decided, now);
         for (step, lives) in decided.renew {
             self.schedule_retry(step, now + ADVICE_RETRY_INTERVAL);
--- a/crates/scheduler/src/stats.rs
+++ b/crates/scheduler/src/stats.rs
@@ -32,6 +32,9 @@
     /// Workers that answer but get no new tasks, since they have not reported their capacity lately;
     /// only on the leader.
     pub unreported_workers: usize,
+    /// Workers that take no other job, since a task that may crash them has only just begun there;
+    /// only on the leader.
+    pub closed_workers: usize,
     /// Registered workers in the replicated state.
     pub workers: usize,
     /// Placements applied by this process while it was the leader.
