Suspects hold other work back for a second, not for as long as they last

Cause: a run of a task under which two workers have crashed counted as one that had only just begun for as long as it lasted, and nothing of another job starts beside such a suspect. The counts are kept until the job is over, so for a service that is for ever. The same line closed workers under gangs, and to the suspects of other jobs, which then never came back.

Change: a suspect's run closes its worker for 250 ms, as after one crash; from the second crash on it keeps only other suspects away, for 1 s. A run that ends without a crash clears its task until the next one: tasks that fail again and again would otherwise hold others back by their starts alone. A suspect is not paused while it is kept apart. Who is to blame for a crash, and when a task is given up, is as before.

Conclusion: isolation gives the next crash few suspects, which takes as long as tasks need to crash their worker, and not as long as they last.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -13,7 +13,7 @@
 /// A task is given up after this many crashes although it is not certain that it had started before
 /// each of them: a worker may have crashed before it got the order.
 pub(crate) const UNCERTAIN_CRASHES_TO_GIVE_UP: u32 = 4;
-/// From this many crashes on a run counts as a suspect for as long as it lasts.
+/// From this many crashes on a run counts as a suspect of the next one for as long as it lasts.
 const CRASHES_TO_STAY_SUSPECT: u32 = 2;
 
 /// A run that was assigned to a life when its worker crashed.
@@ -51,8 +51,8 @@
         self.certain + self.possible
     }
 
-    /// Whether a run of the task stays suspect for as long as it lasts: it may cause crashes long
-    /// after its start.
+    /// Whether a run of the task is a suspect of each crash of its worker for as long as it lasts: it
+    /// may cause crashes long after its start. It is not kept apart for so long.
     ///
     /// ```
     /// use jobs::TaskCrashes;
--- a/crates/jobs/src/state/crashes.rs
+++ b/crates/jobs/src/state/crashes.rs
@@ -25,12 +25,20 @@
             || self.crashes.silent.values().flatten().any(|(silent, _)| *silent == task)
     }
 
+    /// Number of workers that crashed, or are silent, since they ran the task.
+    pub fn lost_workers(&self, task: TaskRef) -> u32 {
+        self.task_crashes(task).total() + self.silent_workers(task)
+    }
+
     /// Whether the task must not start again before its silent workers have shown whether they
     /// crashed: if they did, it is given up.
     pub fn awaits_silent_workers(&self, task: TaskRef) -> bool {
+        self.silent_workers(task) > 0 && self.lost_workers(task) >= UNCERTAIN_CRASHES_TO_GIVE_UP
+    }
+
+    fn silent_workers(&self, task: TaskRef) -> u32 {
         let silent = self.crashes.silent.values().flatten().filter(|(silent, _)| *silent == task);
-        let silent = silent.count() as u32;
-        silent > 0 && self.task_crashes(task).total() + silent >= UNCERTAIN_CRASHES_TO_GIVE_UP
+        silent.count() as u32
     }
 
     /// Whether any task of the step is suspect.
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -5,19 +5,27 @@
 //! was not leaving. Its own answers until then show which runs it had started. Those that had only
 //! just begun are the first suspects; placement keeps suspects apart, so that the next crash has
 //! only one.
+//!
+//! Being kept apart holds other work back, so it ends: for a run a short time after its start, and
+//! for a task once a run of it has ended without a crash. The next crash begins it anew, as does a
+//! new leader. The counts stay.
 
 use crate::group::OnApplied;
 use crate::job_log::hex;
 use crate::leader::Leader;
 use crate::node::Node;
 use dispatch::{RunEvidence, RunStatus, Session};
-use jobs::{Command, CrashedRun, LifeId, RunNumber, State, StepRef, TaskRef, WorkerInfo};
+use jobs::{Command, CrashedRun, EndKind, LifeId, RunNumber, State, StepRef, TaskRef, WorkerInfo};
 use placement::steps::{Isolation, WorkerCapacity};
 use std::time::Duration;
 use types::Timestamp;
 
 /// A run that its worker has outlived by this much is not the first suspect of a later crash.
 const SETTLING_TIME: Duration = Duration::from_millis(250);
+/// A run of a task under which several workers have crashed is kept apart from other suspects for
+/// this long, since it may crash its worker later in its work. Jobs that find no other worker have to
+/// start within 3 s.
+const OBSERVATION_TIME: Duration = Duration::from_secs(1);
 /// A silent worker is remembered for this long, to learn whether it crashed.
 const SILENT_WORKER_TIMEOUT: Duration = Duration::from_secs(300);
 
@@ -98,6 +106,38 @@
         }
     }
 
+    /// Whether runs of the task are kept apart from others, so that the next crash shows which one
+    /// causes it.
+    pub(crate) fn is_kept_apart(&self, state: &State, task: TaskRef) -> bool {
+        let lost = state.lost_workers(task);
+        state.is_suspect(task) && self.cleared.get(&task).is_none_or(|cleared| *cleared < lost)
+    }
+
+    /// Records that a run has ended without a crash of its worker: from then on its task is not kept
+    /// apart until the next crash.
+    pub(crate) fn clear_ended(&mut self, state: &State, task: TaskRef, kind: EndKind) {
+        // A run that was stopped, or whose gang was incomplete, may not have worked.
+        let worked = matches!(kind, EndKind::Done | EndKind::Failed | EndKind::Broken);
+        if !worked || !state.is_open(&task) || !self.is_kept_apart(state, task) {
+            return;
+        }
+        let lost = state.lost_workers(task);
+        log::info!(job = hex(task.step.job).as_str(), step = task.step.step, index = task.index,
+            lost_workers = lost; "task no longer kept apart: a run of it has ended without a crash");
+        self.cleared.insert(task, lost);
+    }
+
+    /// Until when a run of a suspect task is kept apart; `None` if it is not, or not any more.
+    pub(crate) fn apart_until(
+        &self,
+        state: &State,
+        status: &RunStatus,
+        now: Timestamp,
+    ) -> Option<Timestamp> {
+        let until = status.working_since.unwrap_or(now) + time_apart(state, status.task);
+        (now < until && self.is_kept_apart(state, status.task)).then_some(until)
+    }
+
     /// Number of workers that take no other job, since a suspect has only just begun there.
     pub(crate) fn closed_workers(&self, state: &State, now: Timestamp) -> usize {
         let is_closed = |life: &&LifeId| self.isolation(state, **life, now).is_closed();
@@ -123,6 +163,11 @@
         }
     }
 
+    /// Forgets cleared tasks that are over.
+    pub(crate) fn trim_cleared(&mut self, state: &State) {
+        self.cleared.retain(|task, _| state.is_open(task));
+    }
+
     /// Which jobs have runs on a worker that may still crash it.
     pub(crate) fn isolation(&self, state: &State, life: LifeId, now: Timestamp) -> Isolation {
         let mut isolation = Isolation::default();
@@ -131,21 +176,25 @@
             return isolation;
         }
         for status in session.runs() {
-            let Some(settled_at) = settled_at(state, &status, now) else { continue };
-            isolation.add(status.task.step.job, settled_at, state.is_suspect(status.task));
+            let settled_at = status.working_since.unwrap_or(now) + SETTLING_TIME;
+            let settles = now < settled_at;
+            let apart_until = self.apart_until(state, &status, now);
+            if let Some(at) = apart_until.or(settles.then_some(settled_at)) {
+                // Once it has settled, only other suspects are kept from starting there.
+                isolation.add(status.task.step.job, at, apart_until.is_some() && settles);
+            }
         }
         isolation
     }
 }
 
-/// When a run stops being a first suspect; `None` if it has. A run of a task under which several
-/// workers have crashed stays one for as long as it lasts.
-fn settled_at(state: &State, status: &RunStatus, now: Timestamp) -> Option<Timestamp> {
-    if state.task_crashes(status.task).stays_suspect() {
-        return Some(Timestamp::MAX);
+/// How long a run of a suspect task is kept apart after its start.
+fn time_apart(state: &State, task: TaskRef) -> Duration {
+    if state.task_crashes(task).stays_suspect() {
+        OBSERVATION_TIME
+    } else {
+        SETTLING_TIME
     }
-    let at = status.working_since.unwrap_or(now) + SETTLING_TIME;
-    (now < at).then_some(at)
 }
 
 /// The runs that a worker had started or may have started when it crashed. Suspects are those that
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -1,7 +1,7 @@
 //! What waiting steps need, and how urgent they are.
 
 use crate::leader::Leader;
-use jobs::{LifeId, Progress, State, StepRef, TaskRef};
+use jobs::{LifeId, Progress, State, StepRef, Task, TaskRef};
 use placement::steps::{Demand, EligibleWorkers, Urgency};
 use std::time::Duration;
 use types::Timestamp;
@@ -70,12 +70,32 @@
                 && now + self.stop_time + urgency.left <= urgency.submitted + urgency.objective,
             stop_time: self.stop_time,
             renewal,
-            suspect: spec.gang && state.has_suspects(step),
+            suspect: spec.gang && self.has_kept_apart(state, step, &progress.tasks),
             yields: false,
             by_speed: self.learning.is_uneven(),
         })
     }
 
+    /// Separates suspect tasks, which start apart from others. The tasks of a gang stay together.
+    pub(crate) fn split_suspects(&self, state: &State, demand: Demand) -> Vec<Demand> {
+        if demand.gang || !state.has_suspects(demand.step) {
+            return vec![demand];
+        }
+        let is_apart =
+            |i: &u32| self.is_kept_apart(state, TaskRef { step: demand.step, index: *i });
+        let (suspects, others): (Vec<u32>, Vec<u32>) =
+            demand.tasks.iter().partition(|i| is_apart(i));
+        let suspects = Demand { tasks: suspects, suspect: true, ..demand.clone() };
+        let others = Demand { tasks: others, ..demand };
+        [suspects, others].into_iter().filter(|demand| !demand.tasks.is_empty()).collect()
+    }
+
+    fn has_kept_apart(&self, state: &State, step: StepRef, tasks: &[Task]) -> bool {
+        let mut indexes = 0..tasks.len() as u32;
+        state.has_suspects(step)
+            && indexes.any(|index| self.is_kept_apart(state, TaskRef { step, index }))
+    }
+
     /// Priority, objective and remaining work of a step, by which waiting steps are ranked.
     pub(crate) fn urgency(&self, state: &State, step: StepRef) -> Option<Urgency> {
         let job = state.job(step.job)?;
@@ -110,18 +130,6 @@
     tasks
 }
 
-/// Separates suspect tasks, which start apart from others. The tasks of a gang stay together.
-pub(crate) fn split_suspects(state: &State, demand: Demand) -> Vec<Demand> {
-    if demand.gang || !state.has_suspects(demand.step) {
-        return vec![demand];
-    }
-    let is_suspect = |index: &u32| state.is_suspect(TaskRef { step: demand.step, index: *index });
-    let (suspects, others): (Vec<u32>, Vec<u32>) = demand.tasks.iter().partition(|i| is_suspect(i));
-    let suspects = Demand { tasks: suspects, suspect: true, ..demand.clone() };
-    let others = Demand { tasks: others, ..demand };
-    [suspects, others].into_iter().filter(|demand| !demand.tasks.is_empty()).collect()
-}
-
 /// Number of placed tasks of a step per life.
 fn count_placed_by_life(progress: &jobs::StepState) -> Vec<(LifeId, u32)> {
     let mut placed: Vec<(LifeId, u32)> = Vec::new();
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -60,6 +60,7 @@
         self.expire_orders();
         let Some(group) = &mut self.group else { return };
         let Some(leader) = &mut group.leader else { return };
+        leader.trim_cleared(&group.state);
         let mut commands = leader.answered_lives(&group.state);
         for id in &leader.scheduled {
             let Some(job) = group.state.job(*id) else { continue };
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -90,6 +90,8 @@
     /// The worker's clock in a heartbeat that changes the replicated state, by the worker's name and
     /// start, until the change is applied.
     pub(crate) changing: SortedMap<(WorkerId, u64), Option<u64>>,
+    /// Tasks of which a run has ended without a crash since this many workers were lost under them.
+    pub(crate) cleared: SortedMap<TaskRef, u32>,
     pub(crate) next_held_back_line: Timestamp,
 }
 
@@ -126,6 +128,7 @@
             last_heartbeat: SortedMap::default(),
             heartbeat_clocks: SortedMap::default(),
             changing: SortedMap::default(),
+            cleared: SortedMap::default(),
             next_held_back_line: now,
         };
         for life in state.lives() {
@@ -242,6 +245,9 @@
                 Effect::Freed { life, task, run, kind } => {
                     stats.count_end(kind);
                     self.on_freed(life, task, run, kind, now);
+                    if let Some(kind) = kind {
+                        self.clear_ended(state, task, kind);
+                    }
                 }
                 Effect::GangBroken(step) => self.stop_where(|task| task.step == step, now),
                 Effect::EndsRecorded { life, upto } => {
--- a/crates/scheduler/src/planning.rs
+++ b/crates/scheduler/src/planning.rs
@@ -1,7 +1,6 @@
 //! Placement passes: collects waiting steps, free capacity and advice, runs the placement
 //! algorithm, and turns its result into commands, stops and advice calls.
 
-use crate::demand::split_suspects;
 use crate::group::OnApplied;
 use crate::job_log::hex;
 use crate::leader::{Leader, MIN_PLAN_INTERVAL};
@@ -111,7 +110,7 @@
         for (step, urgency, yields) in steps {
             match self.demand(state, step, &urgency, now) {
                 Some(demand) => {
-                    demands.extend(split_suspects(state, Demand { yields, ..demand }));
+                    demands.extend(self.split_suspects(state, Demand { yields, ..demand }));
                 }
                 None => {
                     self.schedule_retry(step, now + ADVICE_RETRY_INTERVAL);
@@ -122,8 +121,9 @@
         // The workers kept free for suspects must not be given to others in the same pass.
         demands.sort_by_key(|demand| !demand.suspect);
         let suspect = |step: &StepRef| demands.iter().any(|d| d.suspect && d.step == *step);
-        let decided =
-            plan(&mut workers, &claimed, &demands, rooms, now, |life| self.reclaimable(life, now));
+        let decided = plan(&mut workers, &claimed, &demands, rooms, now, |life| {
+            self.reclaimable(state, life, now)
+        });
         self.log_held_back(&decided.unplaced, &workers, now);
         self.update_claims(&decided, now);
         for (step, lives) in decided.renew {
@@ -244,7 +244,7 @@
 
     /// Capacity of a worker that becomes free soon, and runs that can be paused without losing
     /// work.
-    fn reclaimable(&self, life: LifeId, now: Timestamp) -> Reclaimable {
+    fn reclaimable(&self, state: &State, life: LifeId, now: Timestamp) -> Reclaimable {
         let Some(session) = self.sessions.get(&life) else { return Reclaimable::default() };
         let slowness = f64::from(self.slowness(life, session.worker())) / 100.0;
         let mut found = Reclaimable::default();
@@ -256,6 +256,8 @@
             } else if traits.pausable
                 && status.working_since.is_some()
                 && status.percent < NEARLY_DONE_PERCENT
+                // A pause would only postpone the crash that shows whether the task causes it.
+                && self.apart_until(state, &status, now).is_none()
             {
                 let run = PausableRun { task: status.task, run: status.run, need, priority };
                 found.pausable.push(run);
