No worker is kept free for a suspect that may not run there

A service with a task more than there are workers, at most one on each, keeps that task waiting. Once it is a suspect, up to an eighth of the workers, one at least, takes nothing new for as long as it waits.

Cause: workers are kept free of new runs until a suspect can start there. Whether the step may have another task on the worker was not asked.

Change: only workers with room under the step's limit are kept free.

Test: placement tests/steps.rs, no_worker_is_kept_free_for_a_suspect_that_ may_not_run_there: on the code before, 8 of 16 tasks of another job start on two workers; now all.

Conclusion: what is kept free settles, and then takes the suspect.

--- a/crates/placement/src/steps/choose.rs
+++ b/crates/placement/src/steps/choose.rs
@@ -1,6 +1,7 @@
 //! Selection of workers for tasks, among those with enough free capacity.
 
 use super::{Demand, EligibleWorkers, WorkerCapacity};
+use jobs::LifeId;
 use std::ops::RangeInclusive;
 use types::Timestamp;
 
@@ -18,6 +19,17 @@
     near_data: bool,
 }
 
+impl Demand {
+    /// How many more tasks of the step `max_per_worker` allows on the worker.
+    pub(super) fn max_tasks_on(&self, life: LifeId) -> u32 {
+        if self.max_per_worker == 0 {
+            return u32::MAX;
+        }
+        let placed = self.placed.iter().find(|(placed, _)| *placed == life);
+        self.max_per_worker.saturating_sub(placed.map_or(0, |(_, count)| *count))
+    }
+}
+
 pub(super) fn candidates(
     workers: &[WorkerCapacity<'_>],
     demand: &Demand,
@@ -34,13 +46,7 @@
         {
             return None;
         }
-        let max_tasks = match demand.max_per_worker {
-            0 => u32::MAX,
-            max => {
-                let placed = demand.placed.iter().find(|(life, _)| *life == capacity.life);
-                max.saturating_sub(placed.map_or(0, |(_, count)| *count))
-            }
-        };
+        let max_tasks = demand.max_tasks_on(capacity.life);
         let near_data = demand.data_rack.as_ref().is_none_or(|rack| rack == capacity.info.rack());
         (max_tasks > 0).then_some(Candidate { worker, ready, max_tasks, near_data })
     };
--- a/crates/placement/src/steps/isolation.rs
+++ b/crates/placement/src/steps/isolation.rs
@@ -105,6 +105,7 @@
             .filter(|worker| demand.need.fits_in(&worker.free))
             .filter(|worker| worker.isolation.observed.is_none())
             .filter(|worker| super::reclaim::may_ever_run(demand, worker))
+            .filter(|worker| demand.max_tasks_on(worker.life) > 0)
             .collect();
         usable.sort_unstable_by_key(|w| (w.isolation.settled_at, Reverse(w.free.cpu), w.life));
         for worker in usable.into_iter().take(count.min(limit)) {
--- a/crates/placement/tests/steps.rs
+++ b/crates/placement/tests/steps.rs
@@ -264,3 +264,20 @@
     }
     (on_time, paused)
 }
+
+/// Guards against workers that are kept free for ever, for a suspect that can start on none of them:
+/// each runs as many tasks of its step as are allowed.
+#[test]
+fn no_worker_is_kept_free_for_a_suspect_that_may_not_run_there() {
+    let infos = vec![info("r1"); 2];
+    let surplus = Demand {
+        tasks: vec![2],
+        max_per_worker: 1,
+        placed: vec![(1, 1), (2, 1)],
+        suspect: true,
+        ..demand(1, 1, 1_000)
+    };
+    let other = demand(2, 16, 1_000);
+    let plan = run(&mut capacities(&infos, &[8_000, 8_000]), &[surplus, other]);
+    assert_eq!((placed(&plan, 1), placed(&plan, 2)), (0, 16));
+}
