Workers kept free for suspects are one in eight of those they may use

Cause: the limit was an eighth of the workers of the cell. A service, or a label, with few of them could have all of its workers kept free of other work while suspects waited.

Change: the limit counts the workers that may run the suspect, rounded up.

Test: placement tests/steps.rs, one_in_eight_workers_of_a_service_is_kept_ free_for_suspects: with four workers of 32, none was open before; now three are.

Conclusion: it changes nothing where all workers are of one service.

--- a/crates/placement/src/steps.rs
+++ b/crates/placement/src/steps.rs
@@ -151,8 +151,8 @@
     /// Results of `reclaimable` so far, by life.
     reclaimable_cache: SortedMap<LifeId, Reclaimable>,
     plan: StepPlan,
-    /// Number of workers kept free of new runs for suspects.
-    reserved: usize,
+    /// Workers kept free of new runs for suspects.
+    reserved: Vec<LifeId>,
 }
 
 /// Places the steps that fit: first the gangs that hold a claim, then all others in the given
@@ -172,8 +172,8 @@
     F: Fn(LifeId) -> Reclaimable,
 {
     let reclaimable_cache = SortedMap::default();
-    let plan = StepPlan::default();
-    let mut pass = Pass { workers, rooms, now, reclaimable, reclaimable_cache, plan, reserved: 0 };
+    let (plan, reserved) = (StepPlan::default(), Vec::new());
+    let mut pass = Pass { workers, rooms, now, reclaimable, reclaimable_cache, plan, reserved };
     for (claim, demand) in pass.claims_within_room(claimed) {
         pass.advance_claim(claim, demand);
     }
--- a/crates/placement/src/steps/isolation.rs
+++ b/crates/placement/src/steps/isolation.rs
@@ -9,7 +9,7 @@
 use std::cmp::Reverse;
 use types::{JobId, Timestamp};
 
-/// At most one worker in this many is kept free of new runs for suspects that wait.
+/// At most one in this many of the workers that may run a suspect is kept free of new runs for it.
 const WORKERS_PER_RESERVED: usize = 8;
 
 /// The jobs with runs on a worker that have only just begun.
@@ -98,7 +98,9 @@
     /// Keeps up to `count` workers free of new runs, until a suspect can start there. The choice
     /// stays the same in each pass: the workers whose runs settle first.
     pub(super) fn reserve_for_suspects(&mut self, demand: &Demand, count: usize) {
-        let limit = self.workers.len().div_ceil(WORKERS_PER_RESERVED) - self.reserved;
+        let eligible = self.workers.iter().filter(|w| super::reclaim::may_ever_run(demand, w));
+        let limit = eligible.clone().count().div_ceil(WORKERS_PER_RESERVED);
+        let reserved = eligible.filter(|worker| self.reserved.contains(&worker.life)).count();
         let mut usable: Vec<&mut WorkerCapacity<'_>> = self
             .workers
             .iter_mut()
@@ -108,9 +110,9 @@
             .filter(|worker| demand.max_tasks_on(worker.life) > 0)
             .collect();
         usable.sort_unstable_by_key(|w| (w.isolation.settled_at, Reverse(w.free.cpu), w.life));
-        for worker in usable.into_iter().take(count.min(limit)) {
+        for worker in usable.into_iter().take(count.min(limit.saturating_sub(reserved))) {
             worker.isolation.observed = Some(demand.step.job);
-            self.reserved += 1;
+            self.reserved.push(worker.life);
         }
     }
 }
--- a/crates/placement/tests/steps.rs
+++ b/crates/placement/tests/steps.rs
@@ -281,3 +281,17 @@
     let plan = run(&mut capacities(&infos, &[8_000, 8_000]), &[surplus, other]);
     assert_eq!((placed(&plan, 1), placed(&plan, 2)), (0, 16));
 }
+
+/// Guards against a service whose few workers are all kept free for one suspect, since they are few
+/// among the workers of the cell.
+#[test]
+fn one_in_eight_workers_of_a_service_is_kept_free_for_suspects() {
+    let mut infos = vec![info("r1"); 32];
+    infos[..28].iter_mut().for_each(|info| info.service = "other".into());
+    let mut workers = capacities(&infos, &[8_000; 32]);
+    let begun = NOW + Duration::from_millis(200);
+    workers[28..].iter_mut().for_each(|worker| worker.isolation.add(9, begun, false));
+    let suspects = Demand { suspect: true, ..demand(1, 4, 1_000) };
+    let plan = run(&mut workers, &[suspects, demand(2, 32, 1_000)]);
+    assert_eq!((placed(&plan, 1), placed(&plan, 2)), (0, 24), "three of four workers are open");
+}
