Native cell: workers open again once a job need not be kept apart

After a crash a job shares no worker with others for 60 s. On its workers nothing else started after that either, for as long as its runs lasted.

Cause: the planner has its own view of each worker, which says that nothing is free on a closed one. The view was made anew only when a run started or ended there. The check that refreshes the jobs did not refresh the workers that they close.

Change: the check refreshes the workers of jobs that have become apart, or no longer are.

Conclusion: the replicated state had opened the workers in time, so its own tests did not see this.

--- a/crates/host/src/leader.rs
+++ b/crates/host/src/leader.rs
@@ -56,6 +56,8 @@
     usage: SortedMap<WorkerId, Usage>,
     zones: Vec<ZoneName>,
     zone: ZoneName,
+    /// Jobs that shared no worker with others at the last check.
+    apart: Vec<JobId>,
 }
 
 impl ZoneLeader {
@@ -85,6 +87,7 @@
             usage: SortedMap::default(),
             zones: cfg.zones(),
             zone: name.clone(),
+            apart: jobs_kept_apart(zone, now),
         };
         if cfg.has_bug(InjectedBug::SkipTakeoverGrace) {
             leader.grace_start = Timestamp::ZERO;
@@ -175,15 +178,24 @@
         });
     }
 
-    /// Updates the free resources of workers whose quarantine may have ended, and jobs that need not
-    /// be kept apart any more.
+    /// Updates the free resources of workers whose quarantine may have ended, jobs that need not be
+    /// kept apart any more, and the workers that are closed for these or no longer are.
     pub(crate) fn refresh_workers(&mut self, zone: &ZoneState, now: Timestamp) {
         let suspects: Vec<JobId> = zone.suspect_jobs().collect();
-        for id in suspects {
-            self.sync_job(zone, id, now);
+        for id in &suspects {
+            self.sync_job(zone, *id, now);
         }
+        let apart = jobs_kept_apart(zone, now);
+        let before = std::mem::replace(&mut self.apart, apart);
+        let began = self.apart.iter().filter(|id| !before.contains(id));
+        let ended = before.iter().filter(|id| !self.apart.contains(id));
+        let jobs = began.chain(ended).filter_map(|id| zone.jobs().get(id));
+        let runs = jobs.flat_map(|job| &job.runs).filter_map(|fence| zone.runs().get(fence));
         let quarantined = zone.workers().iter().filter(|(_, w)| !w.quarantined_until.is_zero());
-        for (id, worker) in quarantined {
+        let mut stale: Vec<&WorkerId> = runs.map(|run| &run.worker).collect();
+        stale.extend(quarantined.map(|(id, _)| id));
+        for id in stale {
+            let Some(worker) = zone.workers().get(id) else { continue };
             self.planner.upsert_worker(worker_view(zone, id, worker, now));
         }
     }
@@ -310,6 +322,11 @@
     }
 }
 
+/// Jobs that share no worker with others, sorted.
+fn jobs_kept_apart(zone: &ZoneState, now: Timestamp) -> Vec<JobId> {
+    zone.suspect_jobs().filter(|id| zone.is_kept_apart(*id, now)).collect()
+}
+
 fn is_startable(zone: &ZoneState, job: &Job) -> bool {
     let alone = job.spec.class != JobClass::AllAtOnce || job.runs.is_empty();
     alone && job.waiting() > 0 && !zone.waits_for_predecessor(job)
--- a/crates/host/tests/deadly_tasks.rs
+++ b/crates/host/tests/deadly_tasks.rs
@@ -6,7 +6,7 @@
 
 use state::JobStatus;
 use std::time::Duration;
-use types::{JobClass, JobSpec};
+use types::{JobClass, JobSpec, Resources};
 use world::{job, World, HOSTS, WORKERS, ZONES};
 
 const FIRST_SEED: u64 = 61;
@@ -14,6 +14,8 @@
 const STEPS: usize = 120;
 /// A task of a job that is given up ran on this many workers when these crashed.
 const CRASHES_TO_GIVE_UP: u32 = 2;
+/// A job shares no worker with others for this long after a crash.
+const TIME_APART: Duration = Duration::from_secs(60);
 
 fn setting(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(default)
@@ -110,3 +112,31 @@
     assert!(failures.is_empty(), "{} of {count} fail:\n{}", failures.len(), failures.join("\n"));
     assert!(crashes > count * 5, "only {crashes} crashes: too few for a meaningful test");
 }
+
+/// Guards against workers that stay closed to other jobs for as long as a job lasts under which they
+/// have crashed, and not only for the time for which it is kept apart.
+#[test]
+fn others_start_beside_a_job_that_was_kept_apart_after_a_crash() {
+    let mut w = World::started(&[]);
+    let in_zone: Vec<usize> = (0..WORKERS).filter(|w| w % ZONES.len() == 0).collect();
+    let spec = |number: u64, tasks: usize, cpu: u64| {
+        let plain = job(number, JobClass::Batch, tasks as u32, false);
+        let resources = Resources { cpu, ..plain.resources };
+        let command = vec!["serve".into()];
+        JobSpec { resources, command, urgent: false, zone: Some(ZONES[0].into()), ..plain }
+    };
+    // Its tasks last, and there is room for one on each worker.
+    w.submit(0, spec(1, in_zone.len(), 3_000));
+    w.run(Duration::from_secs(3));
+    assert_eq!(w.oracle.live_runs(), in_zone.len());
+    for i in &in_zone {
+        w.workers[*i].crash(&mut w.oracle);
+        w.run(Duration::from_secs(3));
+        assert_eq!(w.oracle.live_runs(), in_zone.len(), "restarted");
+    }
+    w.run(TIME_APART);
+    w.submit(0, spec(2, in_zone.len(), 1_000));
+    w.run(Duration::from_secs(3));
+    assert_eq!(w.oracle.live_runs(), 2 * in_zone.len(), "others run beside it");
+    assert_eq!(w.oracle.violation.take(), None);
+}
