A task that was cleared beside a silent worker is suspect after a crash

Cause: clears a task at the number of workers that it has lost, silent ones included. Where the silent worker answers, that number falls, and the next crash only brings it back to where the task was cleared.

Change: losses that turn out to be none are taken off.

Conclusion: a cleared task is kept apart again after each crash.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -163,9 +163,12 @@
         }
     }
 
-    /// Forgets cleared tasks that are over.
+    /// Forgets cleared tasks that are over, and losses that were none: a silent worker answered.
     pub(crate) fn trim_cleared(&mut self, state: &State) {
-        self.cleared.retain(|task, _| state.is_open(task));
+        self.cleared.retain(|task, cleared| {
+            *cleared = (*cleared).min(state.lost_workers(*task));
+            state.is_open(task)
+        });
     }
 
     /// Which jobs have runs on a worker that may still crash it.
--- a/crates/scheduler/tests/after_crashes.rs
+++ b/crates/scheduler/tests/after_crashes.rs
@@ -193,3 +193,40 @@
     }
     assert_others_start(&mut world, 100);
 }
+
+/// Guards against a task that is cleared for good: it has to be kept apart again after a crash, also
+/// if it was cleared while a worker of it was only silent.
+#[test]
+fn a_cleared_task_is_kept_apart_again_after_the_next_crash() {
+    let mut world = started_world(77);
+    world.submit_steps(SERVICE, false, vec![StepSpec { long_running: true, ..step(1) }]);
+    wait_until_on(&mut world, SERVICE, 1, 1_000);
+    let cut = worker_of(&world, SERVICE);
+    world.cut_workers.insert(cut);
+    world.run_until(world.now + 9_000);
+    assert_ne!(worker_of(&world, SERVICE), cut, "started elsewhere");
+    world.run_until(world.now + 1_000);
+    fail_tasks(&mut world, SERVICE);
+    world.run_until(world.now + 1_000);
+    assert_eq!(closed_workers(&world), 0, "cleared");
+    world.cut_workers.clear();
+    world.run_until(world.now + 3_000);
+    let w = worker_of(&world, SERVICE);
+    crash(&mut world, w);
+    wait_until_on(&mut world, SERVICE, 1, MAX_HELD);
+    world.run_until(world.now + 20);
+    assert_eq!(closed_workers(&world), 1);
+    world.run_until(world.now + 1_000);
+    assert_eq!(closed_workers(&world), 0);
+}
+
+/// Index of the worker that runs the first task of the job.
+fn worker_of(world: &World, id: JobId) -> usize {
+    let runs = |w: &Worker| w.up && w.runs.keys().any(|(task, _)| task.step.job == id);
+    world.workers.iter().position(runs).expect("a worker that runs the job")
+}
+
+/// What the leader says of workers that take one job only.
+fn closed_workers(world: &World) -> usize {
+    world.stats(world.leader().expect("a leader")).closed_workers
+}
