--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -32,6 +32,11 @@
     Histogram::new(exponential_buckets(0.000_5, 2.0, 15))
 }
 
+fn set(family: &Family<KindLabel, Gauge>, kind: &str, value: u64) {
+    let labels = KindLabel { kind: kind.to_string() };
+    family.get_or_create(&labels).set(i64::try_from(value).unwrap_or(i64::MAX));
+}
+
 /// All metrics of one process.
 pub struct Metrics {
     registry: Registry,
@@ -116,6 +121,16 @@
         *self.last_stats.lock().expect("lock is not poisoned") = stats;
     }
 
+    /// Sets a gauge, beside those of the engine.
+    pub fn set_now(&self, kind: &str, value: u64) {
+        set(&self.gauges, kind, value);
+    }
+
+    /// Sets a count since the start, beside those of the engine.
+    pub fn set_since_start(&self, kind: &str, value: u64) {
+        set(&self.counts, kind, value);
+    }
+
     /// Replaces the gauges of accounts. Those of accounts that are no longer among the largest go.
     fn set_accounts(&self, stats: &NodeStats) {
         self.accounts.clear();
@@ -136,10 +151,6 @@
     /// Formats all metrics as text.
     pub fn render(&self) -> String {
         let stats = self.last_stats.lock().expect("lock is not poisoned").clone();
-        let set = |family: &Family<KindLabel, Gauge>, kind: &str, value: u64| {
-            let labels = KindLabel { kind: kind.to_string() };
-            family.get_or_create(&labels).set(i64::try_from(value).unwrap_or(i64::MAX));
-        };
         for (kind, value) in [
             ("leads", u64::from(stats.leads)),
             ("term", stats.term),
