--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -106,6 +106,17 @@
         }
     }
 
+    /// Estimate of the memory that the request takes, in bytes.
+    ///
+    /// ```
+    /// let request = jobs::JobRequest { spec: "x".repeat(100), ..Default::default() };
+    /// assert!(request.memory() >= 100);
+    /// ```
+    pub fn memory(&self) -> usize {
+        let steps = self.steps.iter().map(StepSpec::memory);
+        size_of::<JobRequest>() + self.spec.capacity() + steps.sum::<usize>()
+    }
+
     /// Estimated duration of the critical path: the longest chain of dependent steps.
     pub fn critical_path(&self) -> Duration {
         self.critical_path_by(|step| step.estimate)
@@ -126,6 +137,15 @@
 }
 
 impl StepSpec {
+    fn memory(&self) -> usize {
+        let labels = [&self.required_label, &self.data_rack];
+        let labels = labels.into_iter().flatten().map(String::capacity);
+        size_of::<StepSpec>()
+            + self.after.capacity() * size_of::<u16>()
+            + self.image.capacity()
+            + labels.sum::<usize>()
+    }
+
     fn check(&self, position: usize) -> Result<(), String> {
         if self.count == 0 {
             return Err("count: must not be 0".to_string());
