Native cell: one budget for callers, workers and operators

What callers saw: a process that grows by limits.body for each of 4,000 connections; a full house of silent connections that keeps everybody out; legal bodies in small chunks refused, as their framing counted; heads over 8 KB refused. Cause: as on the platform, a limit for each connection only.

The three HTTP addresses are served by http-server, with limits.memory (32MiB) over all of them, limits.head (16KiB), limits.idle_timeout (60s), and at most a quarter of the process's descriptors an address. read_timeout is now for a head, and for a body to make progress. Operators' requests without the token are refused before their body is received.

--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -6,7 +6,8 @@
 use crate::upstreams::{is_hop_by_hop, UpstreamResponse};
 use client::OutgoingRequest;
 use host::{parse_class, Input, Output, ServiceRequest};
-use routing::{AttemptResult, Outcome};
+use http_server::HeadCheck;
+use routing::{AttemptResult, Class, Outcome};
 use state::StoredAnswer;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 const KEY_HEADER: &str = "idempotency-key";
 const TIMEOUT_HEADER: &str = "ebonywalk-timeout";
 const CLASS_HEADER: &str = "ebonywalk-class";
-const OUTCOME_HEADER: &str = "ebonywalk-outcome";
+pub(super) const OUTCOME_HEADER: &str = "ebonywalk-outcome";
 const UPSTREAM_HEADER: &str = "ebonywalk-upstream";
 
 /// Headers for the entry host that are not forwarded. `host` is set to the upstream's address.
@@ -142,15 +143,39 @@
     }
 }
 
+/// What the head of a request says.
+struct RequestHead {
+    service: String,
+    /// Path to forward.
+    path: String,
+    class: Class,
+    timeout: Option<Duration>,
+}
+
+impl RequestHead {
+    fn parse(req: &http_types::Request) -> Result<RequestHead, Refusal> {
+        let bad = |cause: String| Refusal::new(RefusalKind::BadInput, cause);
+        let (service, path) = service_and_path(req).map_err(bad)?;
+        let class = parse_class(header(req, CLASS_HEADER).as_deref()).map_err(bad)?;
+        let timeout = parse_timeout(header(req, TIMEOUT_HEADER)).map_err(bad)?;
+        Ok(RequestHead { service, path, class, timeout })
+    }
+}
+
+/// Refuses requests whose head is invalid before their bodies are received.
+pub(super) fn check() -> HeadCheck {
+    Arc::new(|req| {
+        let e = RequestHead::parse(req).err()?;
+        Some(with_outcome(reply::refusal(&e), Outcome::NotRun).into())
+    })
+}
+
 /// Parses a request into its service, the request to forward, and the input to the engine.
 async fn prepare(
     req: &mut Request<Arc<Shared>>,
 ) -> Result<(String, OutgoingRequest, ServiceRequest), Refusal> {
-    let bad = |cause: String| Refusal::new(RefusalKind::BadInput, cause);
-    let (service, path) = service_and_path(req).map_err(bad)?;
-    let class = parse_class(header(req, CLASS_HEADER).as_deref()).map_err(bad)?;
-    let timeout = parse_timeout(header(req, TIMEOUT_HEADER)).map_err(bad)?;
-    let key = header(req, KEY_HEADER);
+    let RequestHead { service, path, class, timeout } = RequestHead::parse(req.as_ref())?;
+    let key = header(req.as_ref(), KEY_HEADER);
     let method = req.method();
     let body = body::read(req).await?;
     let path_and_query = match req.url().query() {
@@ -170,13 +195,13 @@
     Ok((service, outgoing, request))
 }
 
-fn header(req: &Request<Arc<Shared>>, name: &str) -> Option<String> {
+fn header(req: &http_types::Request, name: &str) -> Option<String> {
     req.header(name).map(|values| values.last().as_str().to_string())
 }
 
 /// Returns the service and the path to forward. The service is the first label of a host name such
 /// as `lead-desk.example`; if the host is an address or has no dot, it is the path's first segment.
-fn service_and_path(req: &Request<Arc<Shared>>) -> Result<(String, String), String> {
+fn service_and_path(req: &http_types::Request) -> Result<(String, String), String> {
     let host = header(req, "host").unwrap_or_default();
     let name = host.split(':').next().unwrap_or_default();
     let is_name = name.contains('.') && name.parse::<std::net::IpAddr>().is_err();
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -1,9 +1,7 @@
 //! The HTTP interfaces for callers, for workers and upstreams, and for operators.
 
-mod accept;
 mod body;
 mod callers;
-mod guard;
 mod operators;
 mod platform;
 mod reply;
@@ -17,10 +15,18 @@
 use crate::upstreams::Upstreams;
 use crate::Error;
 use async_std::net::TcpListener;
+use connections::Connections;
+use http_server::{Handler, Limits, ServerBuilder, Shutdown};
+use http_types::{Response, StatusCode};
+use rustix::process::{getrlimit, Resource};
 use settings::Settings;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Part of the process's descriptors that connections on one address may take, as a divisor. The
+/// rest of three such parts is for other hosts, upstreams, disk and logs.
+const DESCRIPTOR_DIVISOR: u64 = 4;
+
 /// State shared by all handlers.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -31,6 +37,7 @@
     pub(crate) burn: BurnTracker,
     pub(crate) stats: SharedStats,
     pub(crate) shutdown: ShutdownTokens,
+    pub(crate) connections: Arc<Connections>,
 }
 
 impl Shared {
@@ -41,17 +48,54 @@
 }
 
 /// Binds all HTTP addresses and starts to accept connections.
-pub(crate) async fn listen(shared: &Arc<Shared>) -> Result<(), Error> {
+pub(crate) fn listen(shared: &Arc<Shared>) -> Result<(), Error> {
     let listen = &shared.settings.listen;
-    let callers = bind("callers", listen.callers).await?;
-    let platform = bind("platform", listen.platform).await?;
-    let operators = bind("operators", listen.operators).await?;
-    accept::spawn(callers, callers::app(shared.clone()), shared.clone());
-    accept::spawn(platform, platform::app(shared.clone()), shared.clone());
-    accept::spawn(operators, operators::app(shared.clone()), shared.clone());
+    let callers = bind("callers", listen.callers)?;
+    let platform = bind("platform", listen.platform)?;
+    let operators = bind("operators", listen.operators)?;
+    server(callers::app(shared.clone()), shared).check(callers::check()).spawn(callers);
+    server(platform::app(shared.clone()), shared).spawn(platform);
+    server(operators::app(shared.clone()), shared).check(operators::check(shared)).spawn(operators);
     Ok(())
 }
 
-async fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(addr).await.map_err(|e| Error::Listen(what, addr, e))
+fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
+    http_server::listen(addr).map_err(|e| Error::Listen(what, addr, e))
+}
+
+fn server(app: tide::Server<Arc<Shared>>, shared: &Arc<Shared>) -> ServerBuilder {
+    let handler: Handler = Arc::new(move |req| {
+        let app = app.clone();
+        Box::pin(async move {
+            let answered: Result<Response, _> = app.respond(req).await;
+            answered.unwrap_or_else(|e| {
+                log::error!("request handler failed: {e}");
+                Response::new(StatusCode::InternalServerError)
+            })
+        })
+    });
+    let (limits, stop) = (limits(shared), &shared.shutdown);
+    ServerBuilder::new(&shared.connections, handler)
+        .limits(move || limits)
+        .refusal(Arc::new(|e| reply::not_received(e).into()))
+        .max_connections(max_connections(shared))
+        .shutdown(&Shutdown::new(&stop.accept, &stop.accept, &stop.drain))
+}
+
+fn limits(shared: &Shared) -> Limits {
+    let limits = &shared.settings.limits;
+    Limits {
+        head_bytes: usize::try_from(limits.head).unwrap_or(usize::MAX),
+        body_bytes: limits.body,
+        head_timeout: limits.read_timeout,
+        stall_timeout: limits.read_timeout,
+        idle_timeout: limits.idle_timeout,
+    }
+}
+
+/// Maximum number of connections on one address, so that the process keeps descriptors for the rest.
+fn max_connections(shared: &Shared) -> usize {
+    let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    let share = usize::try_from(descriptors / DESCRIPTOR_DIVISOR).unwrap_or(usize::MAX);
+    shared.settings.limits.connections.min(share)
 }
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -3,6 +3,7 @@
 use super::{body, reply, Shared};
 use futures::future::BoxFuture;
 use host::{Answer, Call, GroupCall, ZoneCall};
+use http_server::HeadCheck;
 use serde::Deserialize;
 use std::sync::Arc;
 use subtle::ConstantTimeEq;
@@ -34,24 +35,37 @@
     app
 }
 
-/// Refuses requests without the operators' token. The comparison takes constant time, so that its
-/// duration does not reveal where the tokens differ.
+/// Refuses requests without the operators' token.
 fn check_token<'a>(req: Req, next: Next<'a, Arc<Shared>>) -> BoxFuture<'a, tide::Result> {
     Box::pin(async move {
-        if OPEN_PATHS.contains(&req.url().path()) {
-            return Ok(next.run(req).await);
+        match refuse_stranger(req.as_ref(), &req.state().settings.operator_token) {
+            Some(refused) => Ok(refused),
+            None => Ok(next.run(req).await),
         }
-        let presented = req.header("authorization").map(|v| v.last().as_str()).unwrap_or_default();
-        let presented = presented.strip_prefix("Bearer ").unwrap_or_default();
-        let expected = &req.state().settings.operator_token;
-        if bool::from(presented.as_bytes().ct_eq(expected.as_bytes())) {
-            return Ok(next.run(req).await);
-        }
-        let message = "authorization: needs `Bearer` and the operator_token of the settings";
-        Ok(reply::refusal(&Refusal::new(RefusalKind::Forbidden, message)))
     })
 }
 
+/// Refuses requests without the operators' token before their bodies are received.
+pub(super) fn check(shared: &Arc<Shared>) -> HeadCheck {
+    let shared = shared.clone();
+    Arc::new(move |req| refuse_stranger(req, &shared.settings.operator_token).map(Into::into))
+}
+
+/// Returns the refusal if a request needs a token and has another one. The comparison takes constant
+/// time, so that its duration does not reveal where the tokens differ.
+fn refuse_stranger(req: &http_types::Request, token: &str) -> Option<Response> {
+    if OPEN_PATHS.contains(&req.url().path()) {
+        return None;
+    }
+    let presented = req.header("authorization").map(|v| v.last().as_str()).unwrap_or_default();
+    let presented = presented.strip_prefix("Bearer ").unwrap_or_default();
+    if bool::from(presented.as_bytes().ct_eq(token.as_bytes())) {
+        return None;
+    }
+    let message = "authorization: needs `Bearer` and the operator_token of the settings";
+    Some(reply::refusal(&Refusal::new(RefusalKind::Forbidden, message)))
+}
+
 async fn call(req: &Req, call: Call) -> Response {
     reply::answer(req.state().handle.call(call).await)
 }
@@ -78,6 +92,7 @@
             shared.metrics.set_burn(&service_burn.service, &window.window, window.burn_rate);
         }
     }
+    shared.metrics.set_clients(&shared.connections.stats());
     let mut stats = shared.stats.lock().expect("lock is not poisoned");
     let body = shared.metrics.render(&mut stats);
     Ok(text(StatusCode::Ok, &body))
--- a/crates/daemon/src/http/reply.rs
+++ b/crates/daemon/src/http/reply.rs
@@ -1,6 +1,7 @@
 //! Converts answers and refusals into HTTP responses.
 
 use host::Answer;
+use routing::Outcome;
 use serde::Serialize;
 use tide::{Response, StatusCode};
 use types::{Refusal, RefusalKind};
@@ -30,6 +31,27 @@
     res
 }
 
+/// Builds the response to a request that was not received, and therefore did not run.
+pub(crate) fn not_received(e: &http_server::Error) -> Response {
+    use http_server::Error::{BodyTooLarge, HeadTooLarge};
+    let kind = match e {
+        BodyTooLarge(_) | HeadTooLarge(_) => RefusalKind::TooLarge,
+        _ if e.retry_after().is_some() => RefusalKind::Unavailable,
+        _ => RefusalKind::BadInput,
+    };
+    let message = match e {
+        BodyTooLarge(limit) => {
+            format!("body: larger than {}", types::quantity::format_bytes(*limit))
+        }
+        e => e.to_string(),
+    };
+    let cause = Refusal { kind, message, retry_after: e.retry_after() };
+    let mut res = refusal(&cause);
+    res.set_status(e.status().unwrap_or(StatusCode::BadRequest));
+    res.insert_header(super::callers::OUTCOME_HEADER, Outcome::NotRun.as_str());
+    res
+}
+
 #[derive(Serialize)]
 struct RefusalBody<'a> {
     kind: RefusalKind,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -18,6 +18,11 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabels {
     service: String,
@@ -51,6 +56,9 @@
     preemptions: Gauge,
     late_jobs: Gauge,
     workers_lost: Gauge,
+    client_connections: Gauge,
+    held_bytes: Gauge,
+    refused: Family<CauseLabels, Gauge>,
 }
 
 fn answer_histogram() -> Histogram {
@@ -82,6 +90,9 @@
             preemptions: Gauge::default(),
             late_jobs: Gauge::default(),
             workers_lost: Gauge::default(),
+            client_connections: Gauge::default(),
+            held_bytes: Gauge::default(),
+            refused: Family::default(),
         };
         let m = &metrics;
         registry.register("requests", "Requests by outcome", m.requests.clone());
@@ -98,6 +109,9 @@
         registry.register("preemptions", "Runs stopped for urgent work", m.preemptions.clone());
         registry.register("late_jobs", "Jobs found too late", m.late_jobs.clone());
         registry.register("workers_lost", "Workers lost", m.workers_lost.clone());
+        registry.register("client_connections", "Open", m.client_connections.clone());
+        registry.register("request_bytes_held", "Requests and answers", m.held_bytes.clone());
+        registry.register("not_received", "Requests not received, by cause", m.refused.clone());
         *metrics.registry.lock().expect("lock is not poisoned") = registry;
         metrics
     }
@@ -118,6 +132,16 @@
         self.burn.get_or_create(&labels).set(rate);
     }
 
+    /// Sets what clients hold and what was refused to them.
+    pub(crate) fn set_clients(&self, stats: &connections::Stats) {
+        self.client_connections.set(stats.open_connections as i64);
+        self.held_bytes.set(stats.held_bytes as i64);
+        for (cause, count) in stats.refused.iter() {
+            let labels = CauseLabels { cause: (*cause).to_string() };
+            self.refused.get_or_create(&labels).set(i64::try_from(*count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Updates the gauges from `stats` and returns all metrics as text. Waiting times are moved
     /// from `stats` into their histogram.
     pub(crate) fn render(&self, stats: &mut HostStats) -> String {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -11,6 +11,7 @@
 use crate::upstreams::Upstreams;
 use crate::{logs, Error};
 use async_std::task;
+use connections::Connections;
 use host::Input;
 use settings::Settings;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -82,6 +83,7 @@
         metrics: Metrics::new(&settings.host, &settings.zone),
         burn: BurnTracker::default(),
         stats: stats.clone(),
+        connections: Connections::new("clients", request_memory(&settings)),
         shutdown: shutdown.clone(),
         settings,
     });
@@ -99,6 +101,11 @@
     listening.and(ended)
 }
 
+/// Memory that requests and answers may hold, in bytes.
+fn request_memory(settings: &Settings) -> usize {
+    usize::try_from(settings.limits.request_memory()).unwrap_or(usize::MAX)
+}
+
 fn peer_addresses(settings: &Settings) -> Vec<(HostId, SocketAddr)> {
     let others = settings.hosts.iter().filter(|entry| entry.host != settings.host);
     others.map(|entry| (entry.host.clone(), entry.peers)).collect()
@@ -137,7 +144,7 @@
 async fn listen(shared: &Arc<Shared>) -> Result<(), Error> {
     let addr = shared.settings.listen.peers;
     peers::listen(addr, shared.handle.clone()).await.map_err(|e| Error::Peers(addr, e))?;
-    http::listen(shared).await
+    http::listen(shared)
 }
 
 /// Waits for a stop request and drains: reports not ready, keeps serving for `drain.notice`,
--- a/crates/daemon/tests/contracts.rs
+++ b/crates/daemon/tests/contracts.rs
@@ -82,12 +82,13 @@
         let host = &harness.cell.hosts[0];
         let platform = harness.cell.platform_addrs("a")[0];
         let long_line = vec![b'a'; 3 << 20];
-        let long_head = format!("GET / HTTP/1.1\r\nhost: x\r\nlong: {}\r\n\r\n", "y".repeat(9_000));
+        let long_head =
+            format!("GET / HTTP/1.1\r\nhost: x\r\nlong: {}\r\n\r\n", "y".repeat(17_000));
         let cut_short = b"POST /v1/upstreams HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{}";
         let inputs: [(&str, &[u8], &str); 5] = [
             ("not HTTP", b"\x00\x01\x02\r\n\r\n\r\n", "400 Bad Request"),
-            ("an endless line", &long_line, "400 Bad Request"),
-            ("a long head", long_head.as_bytes(), "400 Bad Request"),
+            ("an endless line", &long_line, "431 Request Header Fields Too Large"),
+            ("a long head", long_head.as_bytes(), "431 Request Header Fields Too Large"),
             ("an old version", b"GET / HTTP/1.0\r\nhost: x\r\n\r\n", "400 Bad Request"),
             ("a body that ends early", cut_short, ""),
         ];
