Peers: frames count as they arrive, and connections are bounded

What was seen: 50 connections to the peers' address that announce a frame of 16 MiB and stop at its half take 410 MiB; any number of silent ones take all descriptors. Cause: tarpc bounds a frame, and nothing bounds the frames together.

Stalled frames give way, connections that have said least lately too. Clients can't take this budget, so that they can't stop the group.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 use types::{HostId, SortedMap};
-use wire::{Hello, PeerClient};
+use wire::{Hello, PeerClient, ServerLimits};
 
 use crate::exchanges::EngineHandle;
 
@@ -16,6 +16,12 @@
 const MAX_QUEUED_MESSAGES: usize = 4_096;
 /// Most messages in one call. Each may be as large as one chunk of a snapshot.
 const MAX_MESSAGES_PER_CALL: usize = 12;
+/// Memory for messages that are arriving, in bytes.
+const PEER_MEMORY: usize = 2 * wire::MAX_MESSAGE_BYTES;
+/// Connections for each host of the cell: an open one, and some that it has lost.
+const CONNECTIONS_PER_HOST: usize = 4;
+/// Connections that may be open in a cell of any size.
+const MIN_CONNECTIONS: usize = 16;
 /// Delay before a connection is opened again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(250);
 
@@ -102,7 +108,15 @@
 
 /// Binds the address for peers and starts a task that accepts their connections until the process
 /// ends. Messages of peers are sent to the engine.
-pub(crate) async fn listen(addr: SocketAddr, handle: EngineHandle) -> Result<(), wire::Error> {
+pub(crate) async fn listen(
+    addr: SocketAddr,
+    hosts: usize,
+    handle: EngineHandle,
+) -> Result<(), wire::Error> {
+    let limits = ServerLimits {
+        memory: PEER_MEMORY,
+        connections: (CONNECTIONS_PER_HOST * hosts).max(MIN_CONNECTIONS),
+    };
     let deliver = move |from: HostId, messages: Vec<PeerMessage>| {
         for message in messages {
             handle.send(Input::Peer(from.clone(), message));
@@ -111,7 +125,8 @@
     let spawn = |connection| {
         task::spawn(connection);
     };
-    let (_, accept) = wire::serve(addr, PROTOCOL_VERSION, Arc::new(deliver), spawn).await?;
+    let deliver = Arc::new(deliver);
+    let (_, accept) = wire::serve(addr, limits, PROTOCOL_VERSION, deliver, spawn).await?;
     task::spawn(accept);
     Ok(())
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -143,7 +143,9 @@
 
 async fn listen(shared: &Arc<Shared>) -> Result<(), Error> {
     let addr = shared.settings.listen.peers;
-    peers::listen(addr, shared.handle.clone()).await.map_err(|e| Error::Peers(addr, e))?;
+    peers::listen(addr, shared.settings.hosts.len(), shared.handle.clone())
+        .await
+        .map_err(|e| Error::Peers(addr, e))?;
     http::listen(shared)
 }
 
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 use types::{HostId, Timestamp, WorkerId, ZoneName};
+use wire::ServerLimits;
 
 /// Largest number of inputs handled between two syncs of the disk.
 const MAX_BATCH: usize = 512;
@@ -50,6 +51,8 @@
     pub data: Option<PathBuf>,
     /// Address to listen on for other hosts. The port must be the same on all hosts.
     pub peers: SocketAddr,
+    /// What other hosts may take together.
+    pub peer_limits: ServerLimits,
 }
 
 /// A started engine.
@@ -87,7 +90,8 @@
     let handle = EngineHandle::new(tx, clock, Metrics::new(&cfg.host, &cfg.zone));
     let stop = CancellationToken::new();
     let addr = cfg.peers;
-    task::block_on(links::listen(addr, handle.clone())).map_err(|e| Error::Peers(addr, e))?;
+    task::block_on(links::listen(addr, cfg.peer_limits, handle.clone()))
+        .map_err(|e| Error::Peers(addr, e))?;
     let location = cfg.data.as_ref().map(|path| DataLocation {
         path: path.clone(),
         host: cfg.host.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,3 +21,4 @@
 pub use handle::{EngineHandle, EngineStatus};
 pub use metrics::Metrics;
 pub use signals::{watch_signals, Signal};
+pub use wire::ServerLimits;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 use types::{HostId, SortedMap};
-use wire::{Hello, PeerClient};
+use wire::{Hello, PeerClient, ServerLimits};
 
 /// Delay between attempts to connect.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
@@ -183,7 +183,11 @@
 }
 
 /// Listens for other hosts until the process ends.
-pub(crate) async fn listen(addr: SocketAddr, handle: EngineHandle) -> Result<(), wire::Error> {
+pub(crate) async fn listen(
+    addr: SocketAddr,
+    limits: ServerLimits,
+    handle: EngineHandle,
+) -> Result<(), wire::Error> {
     let deliver = move |from: HostId, messages: Vec<PeerMessage>| {
         for message in messages {
             handle.send(Input::Peer(from.clone(), message));
@@ -192,7 +196,8 @@
     let spawn = |connection| {
         task::spawn(connection);
     };
-    let (_, accept) = wire::serve(addr, PROTOCOL_VERSION, Arc::new(deliver), spawn).await?;
+    let deliver = Arc::new(deliver);
+    let (_, accept) = wire::serve(addr, limits, PROTOCOL_VERSION, deliver, spawn).await?;
     task::spawn(accept);
     Ok(())
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! tolerate that.
 
 mod client;
+mod counted;
 mod error;
 mod server;
 
@@ -13,7 +14,7 @@
 
 pub use client::{connect, PeerClient};
 pub use error::{Error, ErrorKind};
-pub use server::{serve, MessageHandler};
+pub use server::{serve, MessageHandler, ServerLimits};
 
 /// Largest frame of the peer protocol, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
