Extensions of chunks are bounded for each chunk

A legal body in many small chunks with an extension each was refused: the bound of 16 KiB was one for all chunks of a body. Extensions are not kept, so the bound has to hold for each chunk only. Test: each_chunk_may_have_extensions, which fails on the code before. Also: a connection and its way to be closed are entered under one lock.

--- a/crates/connections/src/shared.rs
+++ b/crates/connections/src/shared.rs
@@ -101,12 +101,16 @@
         end_reading: EndReading,
     ) -> Result<Slot, Error> {
         let now = self.start.elapsed();
-        let (id, victim) = match self.lock().ledger.open(address, now) {
-            Opening::Opened(id) => (id, None),
-            Opening::Instead(id, victim) => (id, Some(victim)),
-            Opening::Full => return Err(Error::TooManyConnections),
+        let (id, victim) = {
+            let mut state = self.lock();
+            let (id, victim) = match state.ledger.open(address, now) {
+                Opening::Opened(id) => (id, None),
+                Opening::Instead(id, victim) => (id, Some(victim)),
+                Opening::Full => return Err(Error::TooManyConnections),
+            };
+            state.open.insert(id, end_reading);
+            (id, victim)
         };
-        self.lock().open.insert(id, end_reading);
         let slot = Slot { connections: self.clone(), id };
         if let Some(victim) = victim {
             self.evict(victim);
@@ -143,8 +147,8 @@
         let count = std::mem::take(&mut state.unreported);
         let (open, held) = (state.ledger.open_connections(), state.ledger.used());
         drop(state);
-        log::warn!(whose = self.whose, count = count, cause:display = cause, open = open, held_bytes = held,
-            budget_bytes = self.budget; "requests or connections refused");
+        log::warn!(whose = self.whose, count = count, cause:display = cause, open = open,
+            held_bytes = held, budget_bytes = self.budget; "requests or connections refused");
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/http-server/src/chunked.rs
+++ b/crates/http-server/src/chunked.rs
@@ -4,7 +4,7 @@
 
 /// Maximum length of a chunk's size, in hexadecimal digits.
 const MAX_SIZE_DIGITS: u32 = 16;
-/// Maximum size of all extensions of a body's chunks together, and of its trailers, in bytes.
+/// Maximum size of the extensions of one chunk, and of all trailers, in bytes.
 const MAX_IGNORED_BYTES: usize = 16 << 10;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,7 +44,7 @@
     remaining: u64,
     /// Maximum size of the body, in bytes.
     limit: u64,
-    /// Bytes of extensions and trailers so far.
+    /// Bytes of the current chunk's extensions, or of the trailers so far.
     ignored: usize,
 }
 
@@ -118,6 +118,7 @@
     }
 
     fn start_chunk(&mut self, body_len: u64) -> Result<State, Error> {
+        self.ignored = 0;
         if self.remaining == 0 {
             return Ok(State::Trailers(false));
         }
@@ -131,7 +132,7 @@
     fn ignore(&mut self) -> Result<(), Error> {
         self.ignored += 1;
         if self.ignored > MAX_IGNORED_BYTES {
-            let cause = format!("body: over {MAX_IGNORED_BYTES} bytes of extensions and trailers");
+            let cause = format!("body: over {MAX_IGNORED_BYTES} bytes of extensions or trailers");
             return Err(Error::Malformed(cause));
         }
         Ok(())
--- a/crates/http-server/tests/parsing.rs
+++ b/crates/http-server/tests/parsing.rs
@@ -97,6 +97,15 @@
     }
 }
 
+/// Extensions are bounded for each chunk, since small chunks have many of them.
+#[test]
+fn each_chunk_may_have_extensions() {
+    let body = vec![b'x'; 50_000];
+    let mut bytes = b"1;a=b\r\nx\r\n".repeat(body.len());
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    assert_eq!(decode(&bytes, 4_096, body.len() as u64).unwrap(), (body, true, bytes.len()));
+}
+
 #[test]
 fn bad_chunks_are_refused() {
     let malformed: [&[u8]; 8] = [
