--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -16,15 +16,16 @@
 //! ```
 
 mod error;
+mod limits;
 mod lines;
 mod model;
 mod note;
 mod voters;
 
 pub use error::{Error, ErrorKind};
+pub use limits::Limits;
 pub use model::{
-    DrainSettings, HostEntry, Limits, Listen, LogFormat, LogSettings, Settings,
-    DEFAULT_OPERATOR_TOKEN,
+    DrainSettings, HostEntry, Listen, LogFormat, LogSettings, Settings, DEFAULT_OPERATOR_TOKEN,
 };
 pub use note::{parse_job, parse_job_file, parse_note, parse_note_file, sha256_hex};
 pub use voters::{cell_voters, zone_voters, Voter};
