Crowd tests: count the chunks of a crowd in plain terms

The crowds send the same bytes as before: 3 or 15 chunks of 64 KiB and 200,000 or 400,000 of one byte; the expressions that gave these numbers needed explaining.

--- a/crates/daemon/tests/crowd/crowds.rs
+++ b/crates/daemon/tests/crowd/crowds.rs
@@ -26,9 +26,9 @@
     HeadWithoutEnd,
     /// Empty lines, 1 MiB of them.
     EmptyLines,
-    /// A body of legal size in chunks of 64 KiB, one byte short.
+    /// A body of legal size in chunks of 64 KiB, cut short in the last one.
     LargeChunks,
-    /// A body of legal size in chunks of one byte, one chunk short.
+    /// A body of legal size in chunks of one byte, cut short in the last one.
     OneByteChunks,
     /// A complete body of legal size.
     WholeBodies,
@@ -57,10 +57,11 @@
             let head = format!("{head}content-length: {}\r\n\r\n", body.len());
             [head.as_bytes(), &body[..sent]].concat()
         };
-        let chunked = |chunk: usize, size: usize| {
+        // The last byte of the last chunk and the end of its line are left out.
+        let chunked = |chunk: usize, count: usize| {
             let mut bytes = format!("{head}transfer-encoding: chunked\r\n\r\n").into_bytes();
             let chunk = [format!("{chunk:x}\r\n").as_bytes(), &vec![b' '; chunk], b"\r\n"].concat();
-            (0..size / (chunk.len() - 4)).for_each(|_| bytes.extend_from_slice(&chunk));
+            bytes.extend_from_slice(&chunk.repeat(count));
             bytes.truncate(bytes.len() - 3);
             bytes
         };
@@ -68,8 +69,8 @@
             Kind::HeadOverLimit => format!("{head}long: {}\r\n\r\n", "y".repeat(300_000)).into(),
             Kind::HeadWithoutEnd => format!("{head}long: {}", "y".repeat(1 << 20)).into(),
             Kind::EmptyLines => b"\r\n".repeat(1 << 19),
-            Kind::LargeChunks => chunked(64 << 10, size),
-            Kind::OneByteChunks => chunked(1, address.one_byte_chunks() * 2),
+            Kind::LargeChunks => chunked(64 << 10, size / (64 << 10) - 1),
+            Kind::OneByteChunks => chunked(1, address.one_byte_chunks()),
             Kind::WholeBodies => with_body(&vec![b' '; size], size),
             Kind::PieceByPiece => with_body(&vec![b' '; size], size - 1),
             Kind::EmptySteps => {
