--- a/crates/daemon/tests/on_platform.rs
+++ b/crates/daemon/tests/on_platform.rs
@@ -251,6 +251,23 @@
     });
 }
 
+/// Guards against clients that fill the log with what they send.
+#[test]
+fn a_long_path_is_cut_in_the_log() {
+    block_on(async {
+        let mut process = start_with_output(Stdio::piped());
+        let mut lines = BufReader::new(process.child.stdout.take().unwrap()).lines();
+        let reader = thread::spawn(move || {
+            let lines = lines.by_ref().map(|line| line.unwrap());
+            lines.into_iter().find(|line| line.contains("\"status\":400"))
+        });
+        process.configure().await;
+        assert_eq!(process.post(&"a".repeat(5_000), JOB.as_bytes()).await.status, 400);
+        let line = reader.join().unwrap().expect("the request is logged");
+        assert!(line.contains("/q/aaaa") && line.len() < 1_000, "{} bytes", line.len());
+    });
+}
+
 fn signal(process: &Process, name: &str) {
     let pid = process.child.id().to_string();
     let status = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
