--- a/review/probe_cases.rs
+++ b/review/probe_cases.rs
@@ -15,6 +15,7 @@
         "goodbye" => goodbye(trouble),
         "stray" => stray(trouble),
         "large" => large(trouble),
+        "held" => held(trouble),
         _ => Err(format!("there is no case {case}")),
     };
     result.unwrap_or_else(Verdict::CouldNotRun)
@@ -187,44 +188,110 @@
     Ok(judge_doubles(&cell))
 }
 
-/// Some jobs with very many tasks come.
+/// Four jobs with very many tasks come at once.
 fn large(trouble: bool) -> Result<Verdict, String> {
+    const LIMIT_MB: u64 = 256;
     let mut cell = Cell::start(4)?;
     let _workers = cell.workers(6);
-    let id = "00000000000000b1";
-    cell.submit(id, &job(2, 500, 20_000))?;
+    cell.submit("00000000000000b1", &job(2, 500, 2_000))?;
     let step = "{\"count\":10000,\"cpu\":1000,\"memMb\":100,\"estimateMs\":1000}";
     let steps = vec![step; 256].join(",");
     let body = format!("{{\"spec\":\"1000 ms\",\"steps\":[{steps}]}}");
+    let mut accepted = 0;
     if trouble {
         for n in 0..4u64 {
-            let _ = cell.submit(&format!("{:016x}", 0xb100 + n), &body);
+            accepted += u32::from(cell.submit(&format!("{:016x}", 0xb100 + n), &body).is_ok());
         }
     }
+    note(&format!("{accepted} large jobs of {} bytes were accepted", body.len()));
     let mut kills = [0; 3];
     let began = Instant::now();
-    let mut peak = 0;
     while began.elapsed() < Duration::from_secs(40) {
         for (i, machine) in cell.core.iter_mut().enumerate() {
             let memory = machine.memory_mb();
-            peak = peak.max(memory);
-            if memory > 256 {
-                note(&format!("{}: {memory} MB of 256, killed by the platform", machine.name));
+            if memory > LIMIT_MB {
+                note(&format!(
+                    "{}: {memory} MB of {LIMIT_MB}, killed by the platform",
+                    machine.name
+                ));
                 kills[i] += 1;
                 machine.restart();
             }
         }
-        sleep_ms(200);
+        sleep_ms(100);
     }
-    let state = cell.state(0, id);
-    note(&format!("kills {kills:?}, peak {peak} MB, state of the small job: {state:?}"));
-    Ok(if kills.iter().filter(|n| **n >= 3).count() >= 2 || state.as_deref() != Some("complete") {
-        Verdict::Broken(format!("kills {kills:?}, state of the small job {state:?}"))
+    note(&format!("kills of the core machines: {kills:?}"));
+    let _ = cell.state(0, "00000000000000b1");
+    let looping = kills.iter().filter(|n| **n >= 3).count();
+    Ok(if 2 * looping >= kills.len() {
+        Verdict::Broken(format!(
+            "Fault: {looping} of {} core machines end three times or more, {kills:?} times in 40 s",
+            kills.len()
+        ))
     } else {
         Verdict::Held
     })
 }
 
+/// A worker is lost for good, without a word, half a second before the end of the traffic.
+fn held(trouble: bool) -> Result<Verdict, String> {
+    let cell = Cell::start(4)?;
+    let workers = cell.workers(8);
+    let mut ids = Vec::new();
+    let mut lost = None;
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(3_000) {
+        if lost.is_none() && began.elapsed() >= Duration::from_millis(2_500) {
+            let recent = cell.log.starts("").into_iter().filter(|e| e.at + 1_000 > now_ms());
+            let recent: Vec<String> = recent.map(|e| e.worker).collect();
+            let starts = |name: &str| recent.iter().filter(|w| *w == name).count();
+            let busiest = workers.iter().max_by_key(|w| starts(&w.name)).ok_or("no workers")?;
+            note(&format!("{}: {} starts in the last second", busiest.name, starts(&busiest.name)));
+            if trouble {
+                busiest.go_dark();
+            }
+            lost = Some(busiest.name.clone());
+        }
+        let id = format!("{:016x}", 0xa000 + ids.len());
+        cell.submit(&id, &job(12, 100, 300))?;
+        ids.push(id);
+        sleep_ms(20);
+    }
+    note(&format!("the traffic has ended; {} jobs were accepted", ids.len()));
+    let end = now_ms();
+    thread::sleep(Duration::from_millis((end + 14_000).saturating_sub(now_ms())));
+    let open = |ids: &[String]| -> Vec<String> {
+        let is_open = |id: &&String| cell.state(1, id).is_none_or(|state| state != "complete");
+        ids.iter().filter(is_open).cloned().collect()
+    };
+    let waiting = open(&ids);
+    let from = now_ms();
+    sleep_ms(3_100);
+    let waiting = open(&waiting);
+    let idle = |id: &&String| {
+        let events: Vec<_> =
+            cell.log.all().into_iter().filter(|e| e.task.starts_with(id.as_str())).collect();
+        let starts = events.iter().filter(|e| e.what == "start").count();
+        let ends = events.iter().filter(|e| e.what != "start").count();
+        starts == ends && events.iter().all(|e| e.at < from)
+    };
+    let stuck: Vec<&String> = waiting.iter().filter(idle).collect();
+    for id in &stuck {
+        note(&format!("{id}: not complete, and no run of it in the last 3 s"));
+    }
+    sleep_ms(4_000);
+    let later = open(&waiting);
+    note(&format!("4 s later {} of these are not complete", later.len()));
+    Ok(match stuck.first() {
+        None => Verdict::Held,
+        Some(id) => Verdict::Broken(format!(
+            "LOST: {} jobs, among them {id}, have nothing running for 3 s, 14 s after the end of the \
+             traffic, with seven workers idle",
+            stuck.len()
+        )),
+    })
+}
+
 fn judge_doubles(cell: &Cell) -> Verdict {
     let doubles = cell.log.doubles();
     for (second, both) in &doubles {
--- a/review/probe_worker.rs
+++ b/review/probe_worker.rs
@@ -187,6 +187,15 @@
         }
     }
 
+    /// Is lost for good, silently: everything that runs here ends, and nothing is answered any more.
+    pub fn go_dark(&self) {
+        let ended = self.life.lock().unwrap().take();
+        note(&format!("{}: LOST for good, silent", self.name));
+        for (task, run) in ended.map(|life| life.runs).unwrap_or_default() {
+            self.log.add(&self.name, &task, run.run, "crashed");
+        }
+    }
+
     /// A heartbeat of another writer that describes the process at this address as an instance of
     /// another service.
     pub fn heartbeat_of(&self, service: &str) -> String {
