--- a/review/probe_cases.rs
+++ b/review/probe_cases.rs
@@ -130,7 +130,7 @@
 /// about to leave again.
 fn goodbye(trouble: bool) -> Result<Verdict, String> {
     let cell = Cell::start(4)?;
-    let workers = cell.workers(6);
+    let workers = cell.workers(16);
     let leader = cell.leader();
     let follower = (leader + 1) % 3;
     let control = cell.control();
@@ -148,8 +148,8 @@
     worker.beat_until_acknowledged().ok_or("the new life was not acknowledged")?;
     sleep_ms(600);
     // Short tasks fill the others, two on each, so that the long one finds its place here.
-    cell.submit("00000000000000e1", &job(10, CPU / 2, 1_000))?;
-    wait_for(2_000, || (cell.log.starts("00000000000000e1").len() == 10).then_some(()));
+    cell.submit("00000000000000e1", &job(30, CPU / 2, 1_000))?;
+    wait_for(2_000, || (cell.log.starts("00000000000000e1").len() == 30).then_some(()));
     cell.submit("00000000000000e2", &job(1, CPU / 2, 8_000))?;
     sleep_ms(200);
     let runs = cell.log.starts("").iter().filter(|e| e.worker == worker.name).count();
