--- a/review/probe_cases.rs
+++ b/review/probe_cases.rs
@@ -144,6 +144,8 @@
         cell.core[follower].signal("STOP");
     }
     worker.leave(&[control[follower], control[leader]]);
+    // Its address is used again after `reuseAfterS`.
+    sleep_ms(2_000);
     worker.begin(&format!("i-{}-1", worker.name));
     worker.beat_until_acknowledged().ok_or("the new life was not acknowledged")?;
     sleep_ms(600);
@@ -154,7 +156,7 @@
     sleep_ms(200);
     let runs = cell.log.starts("").iter().filter(|e| e.worker == worker.name).count();
     worker.drain().ok_or("the draining was not acknowledged")?;
-    let left = Duration::from_millis(4_000).saturating_sub(began.elapsed());
+    let left = Duration::from_millis(6_000).saturating_sub(began.elapsed());
     note(&format!("{runs} runs on {}; {} ms are left", worker.name, left.as_millis()));
     thread::sleep(left);
     if trouble {
