Keep the ids of jobs that are cancelled before their submission arrives

Cause: State::cancel kept nothing of an id that it did not hold, so a submission that was read later was new. The log can't tell them apart, since both calls are valid in either order. The same cause on other paths: a job that had ended before it was cancelled was forgotten by the time of its end; a call in the queue of a frozen host's engine was handed on after its deadline; and State::cancel looked at no queue, so that another queue's prefix ended the job and an id of another queue's job was answered 200 and never ran.

Change: the id goes into the replicated state before the 410 is sent, with queue and account, for keep_ended from the last cancelling. A submission of it is refused with 409. Checked by the leader and again where the command is applied. A host that was paused asks its sockets whether the caller has left before it hands a submission on. Log lines by job id, three metrics.

Tests: the world of the scheduler's tests cancelled jobs of the second queue under the first one's address, which the state did not notice; it names the job's own queue now, and takes 410 for an acknowledgement too, which is stricter.

Conclusion: the order of the two calls no longer decides; what was acknowledged is in the log before a late submission. The native cell refuses to cancel unknown names and says now that this cancels nothing on its way.

--- a/crates/daemon/tests/on_platform.rs
+++ b/crates/daemon/tests/on_platform.rs
@@ -268,6 +268,61 @@
     });
 }
 
+/// Guards against jobs that run for callers who have given up while the host was frozen: their
+/// submissions wait in its sockets, and it can't know of a cancelling elsewhere (review/15).
+#[test]
+fn a_submission_whose_caller_left_while_the_host_was_frozen_is_dropped() {
+    const GONE: &str = "00000000000000a5";
+    const WAITING: &str = "00000000000000a6";
+    block_on(async {
+        let process = start();
+        process.configure().await;
+        signal(&process, "STOP");
+        let submit = |id: &str| {
+            let mut stream = TcpStream::connect(process.callers).unwrap();
+            let head = format!(
+                "POST /q/{id} HTTP/1.1\r\nhost: q.example\r\ncontent-length: {}\r\n\r\n",
+                JOB.len()
+            );
+            stream.write_all([head.as_bytes(), JOB.as_bytes()].concat().as_slice()).unwrap();
+            stream
+        };
+        let mut waiting = submit(WAITING);
+        drop(submit(GONE));
+        sleep(Duration::from_millis(2_500)).await;
+        signal(&process, "CONT");
+        waiting.set_read_timeout(Some(TIMEOUT)).unwrap();
+        let mut buf = [0; 4_096];
+        let read = waiting.read(&mut buf).unwrap();
+        let answer = String::from_utf8_lossy(&buf[..read]);
+        assert!(answer.starts_with("HTTP/1.1 200"), "a caller that waits is served: {answer}");
+        sleep(Duration::from_millis(500)).await;
+        let path = format!("/q/{GONE}");
+        let seen = process.callers().send(Method::Get, &path, &HOST, Vec::new()).await.unwrap();
+        assert_eq!(seen.status, 410, "{}", seen.text());
+    });
+}
+
+/// Guards against a job that starts after its cancelling was acknowledged (review/15).
+#[test]
+fn a_submission_of_a_cancelled_job_is_refused() {
+    block_on(async {
+        let process = start();
+        process.configure().await;
+        let path = "/q/00000000000000a7";
+        let send = |method| {
+            let callers = process.callers();
+            async move { callers.send(method, path, &HOST, Vec::new()).await.unwrap().status }
+        };
+        assert_eq!(send(Method::Delete).await, 410);
+        let refused = process.post("00000000000000a7", JOB.as_bytes()).await;
+        assert_eq!(refused.status, 409, "{}", refused.text());
+        assert!(refused.text().contains("cancelled before"), "{}", refused.text());
+        assert_eq!(send(Method::Get).await, 410, "nobody is shown a job that never ran");
+        assert_eq!(send(Method::Delete).await, 410);
+    });
+}
+
 fn signal(process: &Process, name: &str) {
     let pid = process.child.id().to_string();
     let status = Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap();
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -15,4 +15,5 @@
 pub use chunked::ChunkedDecoder;
 pub use error::Error;
 pub use head::{Framing, Head, HeadScanner};
+pub use receive::ClientConnection;
 pub use server::{listen, Handler, HeadCheck, Limits, RefusalResponse, ServerBuilder, Shutdown};
--- a/crates/http-server/src/receive.rs
+++ b/crates/http-server/src/receive.rs
@@ -5,6 +5,7 @@
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpStream;
 use connections::Slot;
+use futures::FutureExt;
 use http_types::{Method, Request};
 
 /// Bytes that a connection first reads into, and least that it reads at once.
@@ -20,6 +21,26 @@
     pub(crate) buf: Vec<u8>,
 }
 
+/// The connection that a request came on, among the request's extensions.
+#[derive(Clone)]
+pub struct ClientConnection(TcpStream);
+
+impl ClientConnection {
+    /// Whether the client has closed the connection, as far as this host has heard. A client that
+    /// has only ended its sending counts as well.
+    ///
+    /// ```
+    /// let req = http_types::Request::new(http_types::Method::Get, "http://a/");
+    /// let connection = req.ext().get::<http_server::ClientConnection>();
+    /// assert!(!connection.is_some_and(|connection| connection.has_left()));
+    /// ```
+    pub fn has_left(&self) -> bool {
+        let mut byte = [0; 1];
+        let peeked = self.0.peek(&mut byte).now_or_never();
+        peeked.is_some_and(|peeked| !peeked.is_ok_and(|count| count > 0))
+    }
+}
+
 /// A request with its body.
 pub(crate) struct Received {
     pub(crate) request: Request,
@@ -55,6 +76,7 @@
             request.set_body(body);
         }
         request.ext_mut().insert(self.slot.charge());
+        request.ext_mut().insert(ClientConnection(self.stream.clone()));
         Ok(Received { request, method, close })
     }
 
--- a/crates/http-server/tests/server.rs
+++ b/crates/http-server/tests/server.rs
@@ -4,7 +4,7 @@
 use async_std::net::TcpStream;
 use async_std::task::{block_on, sleep};
 use connections::Connections;
-use http_server::{listen, Handler, Limits, ServerBuilder};
+use http_server::{listen, ClientConnection, Handler, Limits, ServerBuilder};
 use http_types::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
@@ -148,3 +148,36 @@
         drop(idle);
     });
 }
+
+/// A handler can tell whether the client of a request has closed its connection meanwhile, or waits.
+#[test]
+fn a_client_that_has_left_is_seen() {
+    const WAIT: Duration = Duration::from_secs(10);
+    block_on(async {
+        let (tx, rx) = async_std::channel::unbounded();
+        let handler: Handler = Arc::new(move |req| {
+            let tx = tx.clone();
+            Box::pin(async move {
+                let connection = req.ext().get::<ClientConnection>().unwrap();
+                tx.send(connection.has_left()).await.unwrap();
+                while req.url().path() == "/leaves" && !connection.has_left() {
+                    sleep(Duration::from_millis(5)).await;
+                }
+                tx.send(connection.has_left()).await.unwrap();
+                Response::new(StatusCode::Ok)
+            })
+        });
+        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let addr = listener.local_addr().unwrap();
+        ServerBuilder::new(&Connections::new("clients", BUDGET), handler).spawn(listener);
+        let mut stays = TcpStream::connect(addr).await.unwrap();
+        stays.write_all(b"GET /stays HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+        assert_eq!((rx.recv().await, rx.recv().await), (Ok(false), Ok(false)));
+        let mut leaves = TcpStream::connect(addr).await.unwrap();
+        leaves.write_all(b"GET /leaves HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+        assert_eq!(rx.recv().await, Ok(false));
+        drop(leaves);
+        let left = async_std::future::timeout(WAIT, rx.recv()).await;
+        assert_eq!(left, Ok(Ok(true)), "not seen within {WAIT:?}");
+    });
+}
--- a/crates/jobs/src/codec.rs
+++ b/crates/jobs/src/codec.rs
@@ -13,10 +13,12 @@
 /// which no tenth byte is above 1.
 const SNAPSHOT_MAGIC: [u8; 10] = [0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f];
 /// Version of the layout of snapshots.
-const SNAPSHOT_LAYOUT: u8 = 2;
+const SNAPSHOT_LAYOUT: u8 = 3;
 /// First byte of a log entry: the version of its layout, with the high bit set. Earlier entries
 /// begin with the number of a command, which is small.
-const LOG_ENTRY_LAYOUT: u8 = 0x80 | 2;
+const LOG_ENTRY_LAYOUT: u8 = 0x80 | 3;
+/// First byte of a log entry of the release before withdrawn ids.
+const LOG_ENTRY_LAYOUT_2: u8 = 0x80 | 2;
 /// Lowest first byte of a log entry with a version.
 const FIRST_LOG_ENTRY_LAYOUT: u8 = 0x80;
 
@@ -67,6 +69,7 @@
         let state = match data.strip_prefix(&SNAPSHOT_MAGIC) {
             None => legacy::decode_state(data),
             Some([SNAPSHOT_LAYOUT, data @ ..]) => postcard::from_bytes(data).map(State::recounted),
+            Some([2, data @ ..]) => legacy::decode_state_2(data).map(State::recounted),
             Some(rest) => {
                 let layout = rest.first().copied().unwrap_or_default();
                 return Err(DecodeError::unknown_layout(SNAPSHOT, layout));
@@ -91,6 +94,7 @@
     pub fn decode(data: &[u8]) -> Result<Command, DecodeError> {
         let command = match data {
             [LOG_ENTRY_LAYOUT, data @ ..] => postcard::from_bytes(data),
+            [LOG_ENTRY_LAYOUT_2, data @ ..] => legacy::decode_command_2(data),
             [layout, ..] if *layout >= FIRST_LOG_ENTRY_LAYOUT => {
                 let version = layout - FIRST_LOG_ENTRY_LAYOUT;
                 return Err(DecodeError::unknown_layout(LOG_ENTRY, version));
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -31,7 +31,7 @@
         /// that was revoked meanwhile does not count.
         key: Option<KeyDigest>,
     },
-    /// Cancels a job.
+    /// Cancels a job. If there is none, a submission that arrives later starts nothing.
     Cancel {
         /// Id of the job to cancel.
         id: JobId,
@@ -39,6 +39,9 @@
         key: Option<KeyDigest>,
         /// When the command was proposed.
         at: Timestamp,
+        /// Address of the job's queue. `None` in log entries of earlier releases, which cancel the
+        /// job whatever its queue is, and have no effect if there is no job.
+        queue: Option<QueueAddress>,
     },
     /// Opens occurrences of a scheduled job that are due.
     OpenOccurrences {
@@ -139,8 +142,15 @@
     NotFound,
     /// The caller has no key of an account, and the queue needs one.
     UnknownKey,
-    /// Another account has a job with this id.
+    /// Another account or another queue has a job with this id.
     IdTaken,
+    /// The job was cancelled before this submission arrived.
+    Withdrawn,
+    /// There is no such job, and no room to keep its id as cancelled.
+    WithdrawnFull {
+        /// When the oldest of the ids that take the room was cancelled.
+        oldest: Timestamp,
+    },
     /// A task or gang of the job needs more at the same time than the account's quota allows: the
     /// index of its step.
     BeyondQuota(u16),
@@ -206,6 +216,10 @@
     },
     /// The job is over: its remaining runs must stop.
     JobOver(JobId),
+    /// The id of a job that does not exist was cancelled.
+    Withdrawn(JobId),
+    /// A submission was refused because its job had been cancelled before.
+    RefusedAsWithdrawn(JobId),
     /// A job was given up because workers crash under one of its tasks.
     GivenUp {
         /// The task.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -41,6 +41,7 @@
 mod model;
 mod review;
 mod state;
+mod withdrawn;
 
 pub use codec::DecodeError;
 pub use command::{Command, Effect, Reply};
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -12,6 +12,7 @@
 use crate::job::{Job, Phase, Progress};
 use crate::life::{Life, Run, WorkerInfo};
 use crate::model::{InDoubtStart, LifeId, Placement, QueueId, StepRef, TaskRef};
+use crate::withdrawn::Withdrawn;
 use accounts::{KeyDigest, Rates, Usage};
 use runtimes::Learned;
 use serde::{Deserialize, Serialize};
@@ -44,6 +45,8 @@
     former_quotas: SortedMap<AccountName, ResourceVector>,
     /// Run times and speeds learned from finished runs.
     learned: Learned,
+    /// Last, since snapshots of layout 2 end before it.
+    withdrawn: Withdrawn,
     /// What the runs of each account use. Not part of snapshots: it follows from the rest.
     #[serde(skip)]
     usage: Usage,
@@ -111,6 +114,12 @@
         QueueId::try_from(i).ok()
     }
 
+    /// The queue at an address, also one that accepts no new jobs.
+    fn queue_at(&self, address: &QueueAddress) -> Option<QueueId> {
+        let i = self.queues.iter().position(|queue| queue.address == *address)?;
+        QueueId::try_from(i).ok()
+    }
+
     /// The account of a caller of the queue who has this key, by the current configuration.
     pub fn caller(
         &self,
@@ -140,7 +149,9 @@
             Command::Submit { id, queue, request, at, key } => {
                 self.submit(id, &queue, *request, at, key, &mut effects)
             }
-            Command::Cancel { id, key, at } => self.cancel(id, key, at, &mut effects),
+            Command::Cancel { id, key, at, queue } => {
+                self.cancel(id, queue.as_ref(), key, at, &mut effects)
+            }
             Command::OpenOccurrences { id, upto } => self.open_occurrences(id, upto, &mut effects),
             Command::Place { placements } => {
                 for placement in placements {
--- a/crates/jobs/src/state/legacy.rs
+++ b/crates/jobs/src/state/legacy.rs
@@ -1,4 +1,5 @@
-//! Layouts of the release before client accounts, whose snapshots and log entries name no version.
+//! Layouts of earlier releases: 2, before withdrawn ids, and that of the release before client
+//! accounts, whose snapshots and log entries name no version.
 
 use super::{Queue, State};
 use crate::command::Command;
@@ -16,6 +17,12 @@
 
 /// Encoding of the last part of the state if no crashes are known. Still earlier releases lack it.
 const NO_CRASH_RECORDS: [u8; 2] = [0, 0];
+/// Encoding of the last part of the state if no ids are withdrawn. Layout 2 lacks it.
+const NO_WITHDRAWN_IDS: [u8; 3] = [0, 0, 0];
+/// Number of the command whose last field layout 2 lacks.
+const CANCEL: u8 = 2;
+/// Encoding of that field if it is not known.
+const NO_QUEUE: [u8; 1] = [0];
 /// Number of commands, counted from the first, whose layout has changed since.
 const CHANGED_COMMANDS: u8 = 3;
 
@@ -86,6 +93,19 @@
     Cancel { id: JobId, at: Timestamp },
 }
 
+/// Decodes the state of a snapshot of layout 2.
+pub(crate) fn decode_state_2(data: &[u8]) -> postcard::Result<State> {
+    postcard::from_bytes(&[data, NO_WITHDRAWN_IDS.as_slice()].concat())
+}
+
+/// Decodes a log entry of layout 2.
+pub(crate) fn decode_command_2(data: &[u8]) -> postcard::Result<Command> {
+    match data.first() {
+        Some(&CANCEL) => postcard::from_bytes(&[data, NO_QUEUE.as_slice()].concat()),
+        _ => postcard::from_bytes(data),
+    }
+}
+
 /// Decodes the state of a snapshot that names no version.
 pub(crate) fn decode_state(data: &[u8]) -> postcard::Result<State> {
     let decoded: postcard::Result<OldState> = postcard::from_bytes(data);
@@ -189,7 +209,7 @@
             OldCommand::Submit { id, queue, request, at } => {
                 Command::Submit { id, queue, request, at, key: None }
             }
-            OldCommand::Cancel { id, at } => Command::Cancel { id, key: None, at },
+            OldCommand::Cancel { id, at } => Command::Cancel { id, key: None, at, queue: None },
         }
     }
 }
--- a/crates/jobs/src/state/submissions.rs
+++ b/crates/jobs/src/state/submissions.rs
@@ -5,9 +5,10 @@
 use crate::command::{Effect, Reply};
 use crate::configuration::QueueAddress;
 use crate::job::{Job, Occurrence, Phase};
-use crate::model::JobRequest;
+use crate::model::{JobRequest, QueueId};
+use crate::withdrawn::{Full, Holder};
 use accounts::KeyDigest;
-use types::{JobId, Timestamp};
+use types::{AccountName, JobId, Timestamp};
 
 impl State {
     pub(super) fn submit(
@@ -19,13 +20,15 @@
         key: Option<KeyDigest>,
         effects: &mut Vec<Effect>,
     ) -> Reply {
-        let known = self.jobs.get(&id);
-        let queue = known.map(|job| job.queue).or_else(|| self.open_queue(queue));
-        let Some(queue) = queue else { return Reply::NotFound };
-        let Ok(account) = self.caller(queue, key.as_ref()) else { return Reply::UnknownKey };
-        if let Some(job) = known {
-            return if job.account == account { Reply::Done } else { Reply::IdTaken };
-        }
+        let (queue, account) = match self.check_submission(id, queue, key.as_ref()) {
+            Ok(caller) => caller,
+            Err(reply) => {
+                if reply == Reply::Withdrawn {
+                    effects.push(Effect::RefusedAsWithdrawn(id));
+                }
+                return reply;
+            }
+        };
         if let Some((account, step)) = self.step_beyond_quota(account.as_ref(), &request) {
             effects.push(Effect::BeyondQuota { job: id, step, account: account.clone() });
             return Reply::BeyondQuota(step);
@@ -44,6 +47,34 @@
         Reply::Done
     }
 
+    /// Returns the queue and the account of a submission that would be new. The error is the reply
+    /// to one that is not, or that is refused.
+    pub fn check_submission(
+        &self,
+        id: JobId,
+        address: &QueueAddress,
+        key: Option<&KeyDigest>,
+    ) -> Result<(QueueId, Option<AccountName>), Reply> {
+        let known = self.jobs.get(&id);
+        let same_queue = known.filter(|job| self.address(job.queue) == address);
+        let queue = same_queue.map(|job| job.queue).or_else(|| self.open_queue(address));
+        let queue = queue.ok_or(Reply::NotFound)?;
+        let account = self.caller(queue, key).map_err(|_| Reply::UnknownKey)?;
+        match (known, same_queue) {
+            (_, Some(job)) if job.account == account => Err(Reply::Done),
+            (Some(_), _) => Err(Reply::IdTaken),
+            (None, _) => {
+                let holder = Holder::new(queue, account.as_ref());
+                let withdrawn = self.withdrawn.contains(&holder, queue, id);
+                if withdrawn {
+                    Err(Reply::Withdrawn)
+                } else {
+                    Ok((queue, account))
+                }
+            }
+        }
+    }
+
     pub(super) fn open_occurrences(
         &mut self,
         id: JobId,
@@ -67,25 +98,65 @@
     pub(super) fn cancel(
         &mut self,
         id: JobId,
+        address: Option<&QueueAddress>,
         key: Option<KeyDigest>,
         at: Timestamp,
         effects: &mut Vec<Effect>,
     ) -> Reply {
-        let Some(queue) = self.jobs.get(&id).map(|job| job.queue) else { return Reply::NotFound };
+        let queue = match address {
+            Some(address) => self.queue_at(address),
+            None => self.jobs.get(&id).map(|job| job.queue),
+        };
+        let Some(queue) = queue else { return Reply::NotFound };
         let Ok(account) = self.caller(queue, key.as_ref()) else { return Reply::UnknownKey };
-        let job = self.jobs.get_mut(&id).filter(|job| job.account == account);
-        let Some(job) = job else { return Reply::NotFound };
-        if !job.phase.is_over() {
-            end_job(job, Phase::Cancelled, at, effects);
+        let own = |job: &&mut Box<Job>| job.queue == queue && job.account == account;
+        if let Some(job) = self.jobs.get_mut(&id).filter(own) {
+            if !job.phase.is_over() {
+                end_job(job, Phase::Cancelled, at, effects);
+            }
+            // Kept as long as an id that was cancelled without a job.
+            job.ended = job.ended.max(Some(at));
+            return Reply::Done;
         }
-        Reply::Done
+        let holder = Holder::new(queue, account.as_ref());
+        match address.map(|_| self.withdrawn.insert(holder, queue, id, at)) {
+            Some(Err(Full { oldest })) => return Reply::WithdrawnFull { oldest },
+            Some(Ok(())) => effects.push(Effect::Withdrawn(id)),
+            None => {}
+        }
+        Reply::NotFound
+    }
+
+    /// The reply to a cancellation for which there is no room; `None` if there is, or if the command
+    /// fails for another reason.
+    pub fn check_cancel(
+        &self,
+        id: JobId,
+        address: &QueueAddress,
+        key: Option<&KeyDigest>,
+    ) -> Option<Reply> {
+        let queue = self.queue_at(address)?;
+        let account = self.caller(queue, key).ok()?;
+        let known = self.jobs.get(&id);
+        if known.is_some_and(|job| job.queue == queue && job.account == account) {
+            return None;
+        }
+        let holder = Holder::new(queue, account.as_ref());
+        let Full { oldest } = self.withdrawn.check_room(&holder, queue, id).err()?;
+        Some(Reply::WithdrawnFull { oldest })
+    }
+
+    /// Number of ids that are kept as cancelled without a job.
+    pub fn withdrawn_ids(&self) -> usize {
+        self.withdrawn.len()
     }
 
-    /// Removes jobs that ended before this time, but those whose use still counts for an account.
+    /// Removes jobs that ended, and ids that were cancelled, before this time, but those whose use still counts for an account.
     pub(super) fn trim_jobs(&mut self, before: Timestamp) {
         let charged = self.charged_jobs();
         let kept = |job: &Job| job.account.is_some() && charged.binary_search(&job.id).is_ok();
         self.jobs.retain(|_, job| job.ended.is_none_or(|ended| ended >= before) || kept(job));
         self.forget_crashes_of_ended();
+        self.withdrawn.trim(before);
     }
 }
--- a/crates/jobs/tests/layouts.rs
+++ b/crates/jobs/tests/layouts.rs
@@ -1,10 +1,12 @@
-//! Snapshots and log entries that the release before client accounts has written.
+//! Snapshots and log entries that earlier releases have written: the one before client accounts, and
+//! the one before cancelled ids were kept.
 //!
 //! The bytes in `data/0e15dd7` come from that release: each command of [`commands`], and its state
 //! after all commands and after those before the first with crash records.
 
+use accounts::{AccountBuilder, Accounts, KeyDigest};
 use jobs::{
-    AdvicePolicy, Command, Configuration, CrashedRun, End, EndKind, JobRequest, Placement,
+    AdvicePolicy, Command, Configuration, CrashedRun, End, EndKind, JobRequest, Phase, Placement,
     QueueAddress, QueuePolicy, RequestLimits, ResourceVector, Schedule, ServicePolicy, State,
     StepRef, StepSpec, TaskRef, WorkerInfo,
 };
@@ -13,6 +15,9 @@
 const COMMANDS: &str = include_str!("data/0e15dd7/commands.hex");
 const STATE: &str = include_str!("data/0e15dd7/state.hex");
 const STATE_WITHOUT_CRASHES: &str = include_str!("data/0e15dd7/state-without-crashes.hex");
+/// Commands of the release before cancelled ids were kept, and its state after them.
+const COMMANDS_OF_LAYOUT_2: &str = include_str!("data/9123e58/commands.hex");
+const STATE_OF_LAYOUT_2: &str = include_str!("data/9123e58/state.hex");
 /// Number of commands before the first one that adds crash records.
 const COMMANDS_WITHOUT_CRASHES: usize = 18;
 /// Length of the part of the state that still earlier releases lack, if it is empty.
@@ -139,7 +144,7 @@
         Command::Place { placements },
         Command::Ended { life: 1, ends, at: ms(1_500) },
         Command::Lost { life: 2, runs: vec![(task(8, 0, 0, 2), 1)] },
-        Command::Cancel { id: 9, key: None, at: ms(1_600) },
+        Command::Cancel { id: 9, key: None, at: ms(1_600), queue: None },
         Command::StartsInDoubt { worker: "w5".into(), tasks: vec![held], at: ms(1_650) },
         Command::StartsResolved { worker: "w6".into(), upto: ms(1_640) },
         configure(4, vec![plain]),
@@ -200,3 +205,47 @@
     assert_eq!(cause, "snapshot: layout 9 is not known to this release");
     assert!(State::decode(&data[..10]).is_err());
 }
+
+/// The commands that the release before cancelled ids were kept has written.
+fn commands_of_layout_2() -> Vec<Command> {
+    let account = AccountBuilder::new("river-board").key("s3cret").weight(4.0).build();
+    let policy = QueuePolicy {
+        name: "plain".into(),
+        service: "crunch".into(),
+        attempts: 3,
+        ..QueuePolicy::default()
+    };
+    let configuration = Box::new(Configuration {
+        version: 3,
+        queues: vec![(address("/p/"), policy)],
+        accounts: Accounts::new(vec![account]).unwrap(),
+        ..Configuration::default()
+    });
+    let key = Some(KeyDigest::of("s3cret"));
+    let submit = |id: u64| {
+        let step = StepSpec { count: 2, ..StepSpec::default() };
+        let request = JobRequest { spec: "text".into(), steps: vec![step], schedule: None };
+        let (queue, request) = (address("/p/"), Box::new(request));
+        Command::Submit { id, queue, request, at: ms(1_000 + id), key }
+    };
+    vec![
+        Command::Configure { configuration },
+        submit(7),
+        submit(8),
+        Command::Cancel { id: 8, key, at: ms(1_600), queue: None },
+        Command::Cancel { id: 9, key, at: ms(1_700), queue: None },
+        Command::StartsResolved { worker: "w6".into(), upto: ms(1_640) },
+    ]
+}
+
+#[test]
+fn log_entries_and_snapshots_of_layout_2_are_read() {
+    let entries = COMMANDS_OF_LAYOUT_2.lines();
+    let earlier: Vec<Command> =
+        entries.map(|line| Command::decode(&bytes(line)).unwrap()).collect();
+    assert_eq!(earlier, commands_of_layout_2());
+    let state = State::decode(&bytes(STATE_OF_LAYOUT_2)).unwrap();
+    assert_eq!(state, state_after(&commands_of_layout_2()));
+    assert_eq!(state.job(8).unwrap().phase, Phase::Cancelled);
+    assert_eq!(State::decode(&state.encode()), Ok(state), "in the layout of this release");
+}
--- a/crates/jobs/tests/quotas.rs
+++ b/crates/jobs/tests/quotas.rs
@@ -45,6 +45,10 @@
     Command::Submit { id, queue: queue(), request, at, key }
 }
 
+fn cancel(id: u64, account: &str, at: Duration) -> Command {
+    Command::Cancel { id, key: Some(KeyDigest::of(account)), at, queue: Some(queue()) }
+}
+
 fn worker(i: u64, born: u64) -> Command {
     let info = WorkerInfo {
         worker: format!("w{i}"),
@@ -142,7 +146,7 @@
     let mut state = state(amount(30, 0), amount(10, 10), false);
     assert_eq!(placed(&mut state, 1, six(1)), 3);
     let at = Duration::from_secs(2);
-    state.apply(Command::Cancel { id: 1, key: Some(KeyDigest::of("a")), at });
+    state.apply(cancel(1, "a", at));
     state.apply(Command::TrimJobs { before: Duration::from_secs(9) });
     state.apply(submit(2, "a", vec![step(6, amount(10, 10), false)]));
     assert_eq!(placed(&mut state, 2, six(2)), 0);
@@ -160,7 +164,7 @@
     let mut state = state(amount(30, 0), amount(10, 10), false);
     assert_eq!(placed(&mut state, 1, six(1)), 3);
     let at = Duration::from_secs(3);
-    state.apply(Command::Cancel { id: 1, key: Some(KeyDigest::of("a")), at });
+    state.apply(cancel(1, "a", at));
     let held = |at| Command::StartsInDoubt {
         worker: "w0".into(),
         tasks: vec![task(1, 0), task(1, 1)],
@@ -245,9 +249,7 @@
                 let runs = tasks(any(6)).into_iter().map(|task| (task, run(any(3)))).collect();
                 Command::Lost { life, runs }
             }
-            16 => {
-                Command::Cancel { id: job, key: Some(KeyDigest::of(NAMES[(job % 2) as usize])), at }
-            }
+            16 => cancel(job, NAMES[(job % 2) as usize], at),
             17 => {
                 let runs = tasks(any(6)).into_iter();
                 let crashed =
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -264,11 +264,13 @@
         let now = self.clock.now();
         let (unready_reason, drained) = (self.node.unready_reason(), self.node.is_drained());
         let has_recent_configuration = self.node.has_recent_configuration();
+        let pause_ended = self.node.pause_ended();
         let (confirmed_at, outdated) = (self.node.confirmed_at(), self.node.is_outdated());
         self.handle.publish(|status| {
             (status.unready_reason, status.drained, status.has_recent_configuration) =
                 (unready_reason, drained, has_recent_configuration);
             (status.confirmed_at, status.outdated) = (confirmed_at, outdated);
+            (status.at, status.pause_ended) = (now, pause_ended);
         });
         if now >= self.next_stats {
             self.next_stats = now + STATS_INTERVAL;
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -13,6 +13,11 @@
 /// Extra wait after a call's deadline, so that the engine's own answer to an expired call arrives
 /// before the call is given up.
 const ANSWER_GRACE: Duration = Duration::from_millis(150);
+/// Shortest pause of the process that counts. The engine runs more often than that.
+const MIN_PAUSE: Duration = Duration::from_secs(1);
+
+/// Inputs that waited while the process was paused have been read this long after the pause.
+const READ_AFTER_PAUSE: Duration = Duration::from_secs(2);
 
 /// Status that the engine publishes after each batch of inputs.
 #[derive(Clone, Debug, Default)]
@@ -27,6 +32,19 @@
     pub confirmed_at: Option<Timestamp>,
     /// Whether the group is known to have a newer configuration.
     pub outdated: bool,
+    /// When the engine published this status.
+    pub(crate) at: Timestamp,
+    /// When the last pause of this host ended; `None` if there was none.
+    pub(crate) pause_ended: Option<Timestamp>,
+}
+
+impl EngineStatus {
+    /// Whether what the process reads at `now` may have waited for it for seconds, because the
+    /// process was paused: frozen, suspended, or without processor time.
+    pub fn may_have_waited(&self, now: Timestamp) -> bool {
+        let lately = self.pause_ended.is_some_and(|at| now < at + READ_AFTER_PAUSE);
+        lately || now > self.at + MIN_PAUSE
+    }
 }
 
 type PendingCalls = SortedMap<ExchangeId, oneshot::Sender<Result<Answer, Refusal>>>;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -160,6 +160,7 @@
             ("configuration_age_ms", stats.configuration_age.map_or(u64::MAX, millis)),
             ("open_calls", stats.open_calls as u64),
             ("open_jobs", stats.open_jobs as u64),
+            ("withdrawn_ids", stats.withdrawn_ids as u64),
             ("waiting_steps", stats.ready_steps as u64),
             ("usable_workers", stats.usable_workers as u64),
             ("unreported_workers", stats.unreported_workers as u64),
@@ -181,6 +182,8 @@
             ("worker_crashes", stats.worker_crashes),
             ("jobs_given_up", stats.jobs_given_up),
             ("jobs_beyond_quota", stats.beyond_quota),
+            ("jobs_refused_as_withdrawn", stats.refused_as_withdrawn),
+            ("cancels_refused", stats.cancels_refused),
             ("advice_calls", stats.advice_calls),
         ] {
             set(&self.counts, kind, value);
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -2,8 +2,9 @@
 
 use crate::call::{Answer, Call, WorkerHeartbeat};
 use crate::capacity_reports::CapacityReport;
-use crate::group::{answer_from_reply, OnApplied, Origin};
+use crate::group::{OnApplied, Origin};
 use crate::io::Output;
+use crate::job_log::{log_cancel_refused, log_refused_as_withdrawn};
 use crate::message::PeerMessage;
 use crate::node::Node;
 use accounts::KeyDigest;
@@ -47,6 +48,15 @@
 
 impl Node {
     pub(crate) fn on_call(&mut self, exchange: ExchangeId, call: Call, deadline: Timestamp) {
+        if self.now >= deadline {
+            log::warn!(call = call.name(), exchange = exchange;
+                "call not handed on: it waited on this host until its deadline");
+            let cause = "the call waited on this host for too long; nothing was done";
+            let refusal = Refusal::new(RefusalKind::Unavailable, cause);
+            let refusal = refusal.retry_after(CALLER_RETRY_AFTER);
+            self.out.push(Output::Answer(exchange, Err(refusal)));
+            return;
+        }
         self.last_call += 1;
         let id = self.last_call;
         let open = OpenCall {
@@ -229,27 +239,44 @@
         match call {
             Call::Submit { id, queue, request, key } => {
                 let at = self.now;
-                match submission(state, id, &queue, key.as_ref()) {
-                    Submission::New => match self.refusal_of(id, &queue, &request, key.as_ref()) {
+                match state.check_submission(id, &queue, key.as_ref()) {
+                    Ok(_) => match self.refusal_of(id, &queue, &request, key.as_ref()) {
                         Some(refusal) => self.answer(origin, Err(refusal)),
                         None => {
                             let command = Command::Submit { id, queue, request, at, key };
                             self.propose_submission(origin, id, command);
                         }
                     },
-                    Submission::Known => self.answer(origin, Ok(Answer::Done)),
-                    Submission::Refused(reply) => self.answer(origin, answer_from_reply(reply)),
+                    Err(reply) => {
+                        if reply == Reply::Withdrawn {
+                            self.stats.refused_as_withdrawn += 1;
+                            log_refused_as_withdrawn(id);
+                        }
+                        let answer = self.answer_from_reply(reply);
+                        self.answer(origin, answer);
+                    }
                 }
             }
-            Call::Cancel { id, key, .. } => {
+            Call::Cancel { id, queue, key } => {
                 let at = self.now;
-                self.propose_for(origin, Command::Cancel { id, key, at });
+                match state.check_cancel(id, &queue, key.as_ref()) {
+                    None => {
+                        let command = Command::Cancel { id, key, at, queue: Some(queue) };
+                        self.propose_for(origin, command);
+                    }
+                    Some(reply) => {
+                        self.stats.cancels_refused += 1;
+                        log_cancel_refused(id);
+                        let answer = self.answer_from_reply(reply);
+                        self.answer(origin, answer);
+                    }
+                }
             }
             Call::JobPhase { id, queue, key } => {
                 let answer = match visible_job(state, id, &queue, key.as_ref()) {
                     Ok(Some(job)) => Ok(Answer::Phase(job.phase)),
                     Ok(None) => Err(not_found("there is no such job")),
-                    Err(UnknownKey) => answer_from_reply(Reply::UnknownKey),
+                    Err(UnknownKey) => self.answer_from_reply(Reply::UnknownKey),
                 };
                 self.answer(origin, answer);
             }
@@ -258,7 +285,7 @@
                     None => Err(not_found("there is no such queue")),
                     Some(queue) => match state.caller(queue, key.as_ref()) {
                         Ok(_) => Ok(Answer::Waiting(self.count_waiting(queue))),
-                        Err(UnknownKey) => answer_from_reply(Reply::UnknownKey),
+                        Err(UnknownKey) => self.answer_from_reply(Reply::UnknownKey),
                     },
                 };
                 self.answer(origin, answer);
@@ -359,33 +386,6 @@
     }
 }
 
-/// What a submission is, by the leader's state.
-enum Submission {
-    New,
-    /// A job of the same caller has the id already.
-    Known,
-    Refused(Reply),
-}
-
-fn submission(
-    state: &State,
-    id: JobId,
-    queue: &QueueAddress,
-    key: Option<&KeyDigest>,
-) -> Submission {
-    let known = state.job(id);
-    let queue = known.map(|job| job.queue).or_else(|| state.open_queue(queue));
-    let Some(queue) = queue else { return Submission::Refused(Reply::NotFound) };
-    let Ok(account) = state.caller(queue, key) else {
-        return Submission::Refused(Reply::UnknownKey);
-    };
-    match known {
-        None => Submission::New,
-        Some(job) if job.account == account => Submission::Known,
-        Some(_) => Submission::Refused(Reply::IdTaken),
-    }
-}
-
 /// A job of the queue that a caller with this key may see.
 pub(crate) fn visible_job<'a>(
     state: &'a State,
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -8,8 +8,12 @@
 use crate::node::Node;
 use consensus::{Config, Entry, Index, Payload, Raft, Ready, Role, Term};
 use jobs::{Command, Effect, Reply, State};
+use std::time::Duration;
 use types::{HostId, MemberId, Refusal, RefusalKind, SortedMap};
 
+/// Shortest time after which a caller may find room that others take now.
+const MIN_ROOM_WAIT: Duration = Duration::from_secs(1);
+
 /// Origin of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Origin {
@@ -246,7 +250,10 @@
             return;
         }
         match waiter.on_applied {
-            OnApplied::Answer(origin) => self.answer(origin, answer_from_reply(reply)),
+            OnApplied::Answer(origin) => {
+                let answer = self.answer_from_reply(reply);
+                self.answer(origin, answer);
+            }
             OnApplied::Placed => {
                 if let Some(leader) = self.leader_mut() {
                     leader.placement_in_flight = false;
@@ -279,6 +286,38 @@
         }
     }
 
+    /// The answer to the caller of an applied command.
+    pub(crate) fn answer_from_reply(&self, reply: Reply) -> Result<Answer, Refusal> {
+        match reply {
+            Reply::Done => Ok(Answer::Done),
+            Reply::InForce(version) => Ok(Answer::InForce(version)),
+            Reply::NotFound => {
+                Err(Refusal::new(RefusalKind::NotFound, "there is no such queue or job"))
+            }
+            Reply::UnknownKey => Err(Refusal::new(
+                RefusalKind::Forbidden,
+                "authorization: no account holds this key",
+            )),
+            Reply::IdTaken => {
+                Err(Refusal::new(RefusalKind::Conflict, "id: another job has it already"))
+            }
+            Reply::Withdrawn => {
+                let cause = "id: the job was cancelled before this submission arrived";
+                Err(Refusal::new(RefusalKind::Conflict, cause))
+            }
+            Reply::WithdrawnFull { oldest } => {
+                let cause = "there is no such job, and too many cancelled ids are kept already";
+                let room_at = oldest + self.cfg.keep_ended;
+                let wait = room_at.saturating_sub(self.now).max(MIN_ROOM_WAIT);
+                Err(Refusal::new(RefusalKind::Unavailable, cause).retry_after(wait))
+            }
+            Reply::BeyondQuota(step) => Err(Refusal::new(
+                RefusalKind::BadInput,
+                format!("steps[{step}]: needs more at once than the account's quota allows"),
+            )),
+        }
+    }
+
     pub(crate) fn leader_mut(&mut self) -> Option<&mut Leader> {
         self.group.as_mut()?.leader.as_deref_mut()
     }
@@ -312,26 +351,6 @@
     members.map(|member| member.host.as_str()).collect::<Vec<_>>().join(" ")
 }
 
-pub(crate) fn answer_from_reply(reply: Reply) -> Result<Answer, Refusal> {
-    match reply {
-        Reply::Done => Ok(Answer::Done),
-        Reply::InForce(version) => Ok(Answer::InForce(version)),
-        Reply::NotFound => {
-            Err(Refusal::new(RefusalKind::NotFound, "there is no such queue or job"))
-        }
-        Reply::UnknownKey => {
-            Err(Refusal::new(RefusalKind::Forbidden, "authorization: no account holds this key"))
-        }
-        Reply::IdTaken => {
-            Err(Refusal::new(RefusalKind::Conflict, "id: another job has it already"))
-        }
-        Reply::BeyondQuota(step) => Err(Refusal::new(
-            RefusalKind::BadInput,
-            format!("steps[{step}]: needs more at once than the account's quota allows"),
-        )),
-    }
-}
-
 fn into_values<K, V>(mut map: SortedMap<K, V>) -> Vec<V>
 where
     K: Ord + Clone,
--- a/crates/scheduler/src/job_log.rs
+++ b/crates/scheduler/src/job_log.rs
@@ -39,6 +39,19 @@
         "job refused: a step needs more at once than its account's quota allows");
 }
 
+pub(crate) fn log_withdrawn(job: JobId) {
+    log::info!(job = hex(job).as_str(); "job cancelled before a submission of it arrived");
+}
+
+pub(crate) fn log_refused_as_withdrawn(job: JobId) {
+    log::info!(job = hex(job).as_str(); "job refused: it was cancelled before");
+}
+
+pub(crate) fn log_cancel_refused(job: JobId) {
+    log::warn!(job = hex(job).as_str();
+        "job not cancelled: it does not exist, and there is no room to keep its id");
+}
+
 pub(crate) fn log_given_up(task: TaskRef, crashes: TaskCrashes) {
     log::warn!(job = hex(task.step.job).as_str(), step = task.step.step, index = task.index,
         certain = crashes.certain, possible = crashes.possible, sure = crashes.sure;
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -5,7 +5,8 @@
 use crate::config::NodeConfig;
 use crate::fairness::Fairness;
 use crate::job_log::{
-    hex, kind_name, log_beyond_quota, log_given_up, log_job_over, log_runs_lost, objective_ms,
+    hex, kind_name, log_beyond_quota, log_given_up, log_job_over, log_refused_as_withdrawn,
+    log_runs_lost, log_withdrawn, objective_ms,
 };
 use crate::learning::Learning;
 use crate::quota_waits::QuotaWaits;
@@ -214,6 +215,11 @@
                     stats.beyond_quota += 1;
                     log_beyond_quota(job, step, account);
                 }
+                Effect::Withdrawn(id) => log_withdrawn(id),
+                Effect::RefusedAsWithdrawn(id) => {
+                    stats.refused_as_withdrawn += 1;
+                    log_refused_as_withdrawn(id);
+                }
                 Effect::GivenUp { task, crashes } => {
                     stats.jobs_given_up += 1;
                     log_given_up(task, crashes);
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -11,7 +11,7 @@
 use types::{HostId, MemberId, Refusal, Timestamp, Version, WorkerId, ZoneName};
 
 /// Version of the protocol between hosts, exchanged when a connection opens.
-pub const PROTOCOL_VERSION: u32 = 8;
+pub const PROTOCOL_VERSION: u32 = 9;
 
 /// Heartbeat that a host sends to the leader, or to all known members and seeds while it knows no
 /// leader.
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -79,6 +79,7 @@
     pub(crate) ask_for_whole_configuration: bool,
     pub(crate) confirmations: Confirmations,
     pub(crate) draining: bool,
+    pause_ended: Option<Timestamp>,
     /// When the process was told to stop.
     draining_since: Timestamp,
     /// Outputs that [`Node::finish`] returns next.
@@ -117,6 +118,7 @@
             ask_for_whole_configuration: false,
             confirmations: Confirmations::default(),
             draining: false,
+            pause_ended: None,
             draining_since: start.now,
             out: Vec::new(),
             stats: NodeStats::default(),
@@ -220,6 +222,7 @@
         if gap >= PAUSE_THRESHOLD {
             log::warn!(gap_ms = gap.as_millis() as u64; "this host was paused");
             self.peers.forget_leader();
+            self.pause_ended = Some(self.now);
         }
         if let Some(group) = &mut self.group {
             // Lets a leader step down if another may have been elected during the pause.
@@ -229,6 +232,11 @@
         }
     }
 
+    /// When the last pause of this host ended; `None` if there was none.
+    pub fn pause_ended(&self) -> Option<Timestamp> {
+        self.pause_ended
+    }
+
     /// Runs the log's timers, and transfers leadership while draining.
     fn tick_group(&mut self) {
         let now = self.now;
@@ -318,6 +326,7 @@
             if stats.leads {
                 stats.live_voters = live_voters(&group.raft, self.now);
             }
+            stats.withdrawn_ids = group.state.withdrawn_ids();
             stats.open_jobs = group.state.jobs().filter(|job| !job.phase.is_over()).count();
             stats.workers = group.state.lives().count();
             if let Some(leader) = &group.leader {
--- a/crates/scheduler/src/stats.rs
+++ b/crates/scheduler/src/stats.rs
@@ -58,6 +58,12 @@
     pub worker_crashes: u64,
     /// Jobs given up because workers crash under one of their tasks.
     pub jobs_given_up: u64,
+    /// Ids in the replicated state that were cancelled without a job.
+    pub withdrawn_ids: usize,
+    /// Submissions refused because their job had been cancelled before.
+    pub refused_as_withdrawn: u64,
+    /// Cancellations refused because there was no such job and no room to keep its id.
+    pub cancels_refused: u64,
     /// Jobs refused because a step can't run within its account's quota.
     pub beyond_quota: u64,
     /// What the largest accounts have running and waiting; only on the leader.
--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -436,6 +436,11 @@
             power_loss = None;
             lose_power(&mut world, &mut pending);
         }
+        if trouble.u8(..10) == 0 {
+            let (id, host) = (trouble.u64(..), trouble.usize(DISKS..HOSTS));
+            world.submit_held_up(id, host, trouble.u64(..6_000));
+            world.cancel(id);
+        }
         if world.rng.u8(..20) == 0 && !ids.is_empty() {
             let id = ids[world.rng.usize(..ids.len())];
             world.cancel(id);
--- a/crates/scheduler/tests/refusals.rs
+++ b/crates/scheduler/tests/refusals.rs
@@ -1,4 +1,4 @@
-//! Refusals of submissions of which several copies were sent.
+//! Refusals of submissions of which several copies were sent, or none.
 
 use jobs::{JobRequest, QueueAddress, StepSpec};
 use scheduler::{Call, Input, Node, NodeConfigBuilder, Output, PeerMessage, StartState};
@@ -37,16 +37,25 @@
     })
 }
 
-/// What the caller is told if the leader refuses a job after `waited`.
-fn refusal_after(waited: Duration) -> RefusalKind {
+/// A host that knows the leader.
+fn entry_host() -> Node {
     let cfg = NodeConfigBuilder::new("10.0.0.9").seeds(vec![LEADER.into()]).build();
     let start = StartState { member: 9, process: 9, now: ms(1_000), ..StartState::default() };
     let mut node = Node::new(cfg, start);
     node.step(ms(1_000), leader_answers_heartbeats());
+    node
+}
+
+fn submission() -> Call {
     let step = StepSpec { count: 1, ..StepSpec::default() };
     let request = Box::new(JobRequest { steps: vec![step], ..JobRequest::default() });
-    let call = Call::Submit { id: 7, queue: QueueAddress::default(), request, key: None };
-    let mut sent = calls(&node.step(ms(1_010), Input::Call(1, call, ms(4_000))));
+    Call::Submit { id: 7, queue: QueueAddress::default(), request, key: None }
+}
+
+/// What the caller is told if the leader refuses a job after `waited`.
+fn refusal_after(waited: Duration) -> RefusalKind {
+    let mut node = entry_host();
+    let mut sent = calls(&node.step(ms(1_010), Input::Call(1, submission(), ms(4_000))));
     let mut now = ms(1_010);
     while now < ms(1_010) + waited {
         now += ms(100);
@@ -69,3 +78,18 @@
     assert_eq!(refusal_after(Duration::ZERO), RefusalKind::Overloaded);
     assert_eq!(refusal_after(RESEND), RefusalKind::Unknown);
 }
+
+/// Guards against a job that starts though nobody waits for it: its submission was read just before
+/// the host froze, and handed on after its deadline.
+#[test]
+fn a_call_that_waited_until_its_deadline_is_not_handed_on() {
+    let mut node = entry_host();
+    let outputs = node.step(ms(5_000), Input::Call(1, submission(), ms(4_000)));
+    assert_eq!(calls(&outputs), [0; 0]);
+    let answers = outputs.iter().filter_map(|output| match output {
+        Output::Answer(1, Err(refusal)) => Some((refusal.kind, refusal.retry_after.is_some())),
+        _ => None,
+    });
+    assert_eq!(answers.collect::<Vec<_>>(), [(RefusalKind::Unavailable, true)]);
+    assert_eq!(node.pause_ended(), Some(ms(5_000)));
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -120,6 +120,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct JobRecord {
     pub(crate) accepted: bool,
+    /// Whether it was submitted to the advised queue.
+    advised: bool,
     pub(crate) cancelled_at: Option<u64>,
     /// Tasks with a successful run.
     pub(crate) done: BTreeSet<TaskRef>,
@@ -474,25 +476,36 @@
 
     /// Submits a job with these steps.
     pub(crate) fn submit_steps(&mut self, id: JobId, advised: bool, steps: Vec<StepSpec>) {
+        let call = self.submission(id, advised, steps);
+        let host = self.rng.usize(DISKS..HOSTS);
+        self.call(host, call);
+    }
+
+    fn submission(&mut self, id: JobId, advised: bool, steps: Vec<StepSpec>) -> Call {
         let request = JobRequest { spec: "text".into(), steps, schedule: None };
         self.requests.insert(id, request.clone());
-        self.jobs.insert(id, JobRecord::default());
-        let host = self.rng.usize(DISKS..HOSTS);
-        self.call(
-            host,
-            Call::Submit {
-                id,
-                queue: queue(advised),
-                request: Box::new(request),
-                key: self.key_for(id),
-            },
-        );
+        self.jobs.insert(id, JobRecord { advised, ..JobRecord::default() });
+        let (request, key) = (Box::new(request), self.key_for(id));
+        Call::Submit { id, queue: queue(advised), request, key }
+    }
+
+    /// Submits a job with one task at a host that reads the submission only after `held_up` ms.
+    pub(crate) fn submit_held_up(&mut self, id: JobId, host: usize, held_up: u64) {
+        let need = ResourceVector { cpu: 500, memory: 100, gpu: 0 };
+        let step = StepSpec { count: 1, need, estimate: ms(300), ..StepSpec::default() };
+        let call = self.submission(id, false, vec![step]);
+        self.after(held_up, Event::Call(host, Box::new(call)));
     }
 
     pub(crate) fn cancel(&mut self, id: JobId) {
         let host = self.rng.usize(DISKS..HOSTS);
-        let key = self.key_for(id);
-        self.call(host, Call::Cancel { id, queue: queue(false), key });
+        self.cancel_at(host, id);
+    }
+
+    /// Cancels a job at a host.
+    pub(crate) fn cancel_at(&mut self, host: usize, id: JobId) {
+        let (queue, key) = (queue(self.jobs[&id].advised), self.key_for(id));
+        self.call(host, Call::Cancel { id, queue, key });
     }
 
     fn input(&mut self, i: usize, input: Input) {
@@ -561,13 +574,19 @@
             (Call::Submit { id, .. }, Ok(_)) => self.jobs.get_mut(&id).unwrap().accepted = true,
             // Clients retry a submission with an unknown outcome.
             (Call::Submit { id, queue, request, key }, Err(refusal))
-                if !matches!(refusal.kind, RefusalKind::NotFound | RefusalKind::BadInput) =>
+                if !matches!(
+                    refusal.kind,
+                    RefusalKind::NotFound | RefusalKind::BadInput | RefusalKind::Conflict
+                ) =>
             {
                 let host = self.rng.usize(DISKS..HOSTS);
                 let call = Call::Submit { id, queue, request, key };
                 self.after(CALL_RETRY_INTERVAL, Event::Call(host, Box::new(call)));
             }
-            (Call::Cancel { id, .. }, Ok(_)) => {
+            (Call::Cancel { id, .. }, Err(refusal)) if refusal.kind != RefusalKind::NotFound => {
+                eprintln!("{} cancel {id:x} refused: {refusal}", self.now);
+            }
+            (Call::Cancel { id, .. }, _) => {
                 let now = self.now;
                 self.jobs.get_mut(&id).unwrap().cancelled_at.get_or_insert(now);
             }
--- a/crates/state/src/zone.rs
+++ b/crates/state/src/zone.rs
@@ -255,7 +255,9 @@
 
     fn cancel_named(&mut self, key: &JobKey, at: Timestamp, effects: &mut Effects) -> Reply {
         let Some(id) = self.names.get(key).copied() else {
-            return not_found(format!("job `{key}` does not exist"));
+            return not_found(format!(
+                "job `{key}` does not exist; one that is still being submitted is not cancelled"
+            ));
         };
         if let Some(version) = self.jobs.get(&id).and_then(|job| job.added) {
             let message =
