--- a/crates/daemon/tests/on_platform.rs
+++ b/crates/daemon/tests/on_platform.rs
@@ -7,7 +7,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,10 +21,14 @@
 const JOB: &str = r#"{"spec":"x","steps":[{"count":1,"cpu":100,"memMb":1,"estimateMs":50}]}"#;
 const HOST: [(&str, &str); 1] = [("host", "q.example")];
 
+/// Memory of the machine, in MB.
+const MEMORY_MB: u64 = 256;
+
 struct Process {
     child: Child,
     callers: SocketAddr,
     control: SocketAddr,
+    metrics_port: u16,
     settings: PathBuf,
     _dir: TempDir,
 }
@@ -48,18 +52,23 @@
     let text = format!(
         "node=n-1\nip=127.0.0.1\nzone=a\nlisten.front={callers}\nlisten.ready={ready}\n\
          listen.control={control}\nportRange={peers},{peers}\nseeds={control}\nbootstrap=true\n\
-         dataDir={}\nbounds.graceS=6\n",
+         dataDir={}\nbounds.graceS=6\nlimits.memoryMb={MEMORY_MB}\n",
         dir.path().join("data").display()
     );
     let settings = dir.path().join("settings.conf");
     fs::write(&settings, text).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_ebonywalkd"))
-        .args(["on-platform", "--metrics-port", &ports[4].port().to_string()])
-        .env("EBONYWALK_SETTINGS", &settings)
+    let metrics_port = ports[4].port();
+    let child = spawn(&settings, metrics_port, stdout);
+    Process { child, callers, control, metrics_port, settings, _dir: dir }
+}
+
+fn spawn(settings: &Path, metrics_port: u16, stdout: Stdio) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_ebonywalkd"))
+        .args(["on-platform", "--metrics-port", &metrics_port.to_string()])
+        .env("EBONYWALK_SETTINGS", settings)
         .stdout(stdout)
         .spawn()
-        .unwrap();
-    Process { child, callers, control, settings, _dir: dir }
+        .unwrap()
 }
 
 impl Process {
@@ -87,6 +96,13 @@
         panic!("no configuration in force after {TIMEOUT:?}");
     }
 
+    /// Kills the process and starts it again with what is on its disk.
+    fn crash(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = spawn(&self.settings, self.metrics_port, Stdio::null());
+    }
+
     async fn post(&self, id: &str, body: &[u8]) -> Reply {
         let path = format!("/q/{id}");
         self.callers().send(Method::Post, &path, &HOST, body.to_vec()).await.unwrap()
@@ -136,6 +152,55 @@
     });
 }
 
+/// Guards against accepted jobs that end each process for good (review/12): the largest jobs, as many
+/// as are accepted, must leave the process well below its machine's memory, also after a restart.
+#[test]
+fn the_largest_jobs_end_no_process() {
+    let step = r#"{"count":10000,"cpu":1,"memMb":1,"estimateMs":50}"#;
+    let largest = format!(r#"{{"spec":"x","steps":[{}]}}"#, vec![step; 256].join(","));
+    let id = |n: u64| format!("{n:016x}");
+    block_on(async {
+        let mut process = start();
+        process.configure().await;
+        assert_eq!(process.post(&id(0xa9), JOB.as_bytes()).await.status, 200);
+        let mut refused = None;
+        let mut accepted = 0;
+        let limit = MEMORY_MB * 1_024 / 2;
+        while refused.is_none() && process.resident_kib() < limit {
+            let reply = process.post(&id(0x1000 + accepted), largest.as_bytes()).await;
+            match reply.status {
+                200 => accepted += 1,
+                _ => refused = Some(reply),
+            }
+        }
+        let resident = process.resident_kib();
+        println!("{accepted} jobs are accepted; {resident} KiB");
+        assert!(resident < limit, "{resident} KiB with {accepted} jobs");
+        let refused = refused.expect("the loop ends with a refusal");
+        assert_eq!(refused.status, 503, "{}", refused.text());
+        assert!(refused.text().contains("no room"), "{}", refused.text());
+        assert!(refused.header("retry-after").is_some(), "no time to come back");
+        assert!(accepted > 4, "only {accepted} are accepted");
+        process.crash();
+        process.configure().await;
+        let resident = process.resident_kib();
+        assert!(resident < limit, "{resident} KiB after a restart");
+        let send = |method, n: u64| {
+            let callers = process.callers();
+            let path = format!("/q/{}", id(n));
+            async move { callers.send(method, &path, &HOST, Vec::new()).await.unwrap() }
+        };
+        for n in [0xa9, 0x1000, 0x1000 + accepted - 1] {
+            assert_eq!(send(Method::Get, n).await.text(), r#"{"state":"queued"}"#);
+        }
+        assert_eq!(process.post(&id(1), largest.as_bytes()).await.status, 503);
+        for n in 0..2 {
+            assert_eq!(send(Method::Delete, 0x1000 + n).await.status, 200);
+        }
+        assert_eq!(process.post(&id(1), largest.as_bytes()).await.status, 200, "room is free");
+    });
+}
+
 /// Sends a body that is shorter than its `Content-Length`.
 fn cut_short(addr: SocketAddr) {
     let mut stream = TcpStream::connect(addr).unwrap();
--- a/crates/jobs/src/codec.rs
+++ b/crates/jobs/src/codec.rs
@@ -67,7 +67,7 @@
             return Ok(State::default());
         }
         let state = match data.strip_prefix(&SNAPSHOT_MAGIC) {
-            None => legacy::decode_state(data),
+            None => legacy::decode_state(data).map(State::recounted),
             Some([SNAPSHOT_LAYOUT, data @ ..]) => postcard::from_bytes(data).map(State::recounted),
             Some([2, data @ ..]) => legacy::decode_state_2(data).map(State::recounted),
             Some(rest) => {
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -30,6 +30,9 @@
         /// The caller's key. The account is looked up when the command is applied, so that a key
         /// that was revoked meanwhile does not count.
         key: Option<KeyDigest>,
+        /// Size in bytes that all jobs together may have, by the memory of the proposing leader's
+        /// host. `None` for no limit, as in log entries of earlier releases.
+        room: Option<u64>,
     },
     /// Cancels a job. If there is none, a submission that arrives later starts nothing.
     Cancel {
@@ -144,6 +147,18 @@
     UnknownKey,
     /// Another account or another queue has a job with this id.
     IdTaken,
+    /// There is no room for another job now.
+    NoRoom {
+        /// Size of what has to be removed first, in bytes.
+        missing: usize,
+    },
+    /// There is never room for the job.
+    TooLarge {
+        /// Size of the job in bytes.
+        bytes: usize,
+        /// Size in bytes that all jobs together may have.
+        room: usize,
+    },
     /// The job was cancelled before this submission arrived.
     Withdrawn,
     /// There is no such job, and no room to keep its id as cancelled.
@@ -218,6 +233,8 @@
     JobOver(JobId),
     /// The id of a job that does not exist was cancelled.
     Withdrawn(JobId),
+    /// A job was refused because there is no room for it.
+    NoRoom(JobId),
     /// A submission was refused because its job had been cancelled before.
     RefusedAsWithdrawn(JobId),
     /// A job was given up because workers crash under one of its tasks.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,6 +1,8 @@
 //! Jobs and the progress of their steps and tasks.
 
 use crate::model::{JobRequest, LifeId, QueueId, RunNumber, StepRef};
+use crate::sizes;
+use crate::tasks::Tasks;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use types::{AccountName, JobId, SortedMap, Timestamp};
@@ -55,10 +57,8 @@
 /// State of one step of one occurrence.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepState {
-    /// The tasks, by index.
-    pub tasks: Vec<Task>,
-    /// Number of tasks that are done.
-    pub done: u32,
+    /// The tasks.
+    pub tasks: Tasks,
     /// Number of failed runs of the gang as a whole.
     pub gang_failures: u32,
     /// Run number of the gang's last failed run; 0 before the first failure.
@@ -68,18 +68,12 @@
 impl StepState {
     /// Whether all tasks of the step are done.
     pub fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
-    }
-
-    /// Indexes of the tasks that wait to be assigned.
-    pub fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
-        let waits = |(_, task): &(usize, &Task)| task.progress == Progress::Waiting;
-        self.tasks.iter().enumerate().filter(waits).map(|(i, _)| i as u32)
+        self.tasks.done() == self.tasks.count()
     }
 
     /// Whether no task is assigned to a worker.
     pub fn is_idle(&self) -> bool {
-        !self.tasks.iter().any(|task| matches!(task.progress, Progress::Placed(_)))
+        self.tasks.placed() == 0
     }
 }
 
@@ -92,13 +86,21 @@
 
 impl Occurrence {
     pub(crate) fn new(request: &JobRequest) -> Occurrence {
-        let step = |count: u32| StepState {
-            tasks: vec![Task::default(); count as usize],
-            ..StepState::default()
-        };
+        let step = |count| StepState { tasks: Tasks::new(count), ..StepState::default() };
         Occurrence { steps: request.steps.iter().map(|spec| step(spec.count)).collect() }
     }
 
+    /// Size in bytes of an occurrence that has just been opened.
+    pub(crate) fn new_bytes(request: &JobRequest) -> usize {
+        sizes::OCCURRENCE + request.steps.len() * sizes::STEP
+    }
+
+    /// Size in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        let tasks: usize = self.steps.iter().map(|step| step.tasks.bytes()).sum();
+        sizes::OCCURRENCE + self.steps.len() * sizes::STEP + tasks
+    }
+
     /// Whether all steps of the occurrence are done.
     pub fn is_done(&self) -> bool {
         self.steps.iter().all(StepState::is_done)
@@ -164,12 +166,28 @@
     /// Steps whose dependencies are done and which have waiting tasks. A gang becomes ready only
     /// once none of its members is assigned any more.
     pub fn steps_ready(&self) -> impl Iterator<Item = StepRef> + '_ {
-        self.occurrences.iter().flat_map(move |(occurrence, o)| {
-            let steps = 0..o.steps.len() as u16;
-            let refs =
-                steps.map(move |step| StepRef { job: self.id, occurrence: *occurrence, step });
-            refs.filter(|step| self.is_ready(*step))
-        })
+        self.occurrences.keys().flat_map(move |occurrence| self.steps_ready_of(*occurrence))
+    }
+
+    /// The same of one occurrence.
+    pub(crate) fn steps_ready_of(&self, occurrence: u32) -> impl Iterator<Item = StepRef> + '_ {
+        let steps = self.occurrences.get(&occurrence).map_or(0, |found| found.steps.len() as u16);
+        let refs = (0..steps).map(move |step| StepRef { job: self.id, occurrence, step });
+        refs.filter(|step| self.is_ready(*step))
+    }
+
+    /// Size in bytes of a job that has just been accepted, with its first occurrence.
+    pub(crate) fn new_bytes(account: Option<&AccountName>, request: &JobRequest) -> usize {
+        let account = account.map_or(0, String::len);
+        sizes::JOB + account + request.bytes() + Occurrence::new_bytes(request)
+    }
+
+    /// Size in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        let account = self.account.as_ref().map_or(0, String::len);
+        let request = self.request.as_ref().map_or(0, |request| request.bytes());
+        let occurrences: usize = self.occurrences.values().map(Occurrence::bytes).sum();
+        sizes::JOB + account + request + occurrences
     }
 
     /// Whether tasks of the step can be assigned to workers now.
@@ -183,7 +201,7 @@
             return false;
         };
         let earlier_done = spec.after.iter().all(|i| occurrence.steps[usize::from(*i)].is_done());
-        earlier_done && state.waiting().next().is_some() && (!spec.gang || state.is_idle())
+        earlier_done && state.tasks.waiting_count() > 0 && (!spec.gang || state.is_idle())
     }
 
     /// The state of a step; `None` if its occurrence is not open.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,8 +26,8 @@
 //! state.apply(Command::Configure { configuration: Box::new(configuration) });
 //! let step = StepSpec { count: 2, ..StepSpec::default() };
 //! let request = JobRequest { steps: vec![step], ..JobRequest::default() };
-//! let (at, key) = (Duration::from_secs(1), None);
-//! state.apply(Command::Submit { id: 7, queue: address, request: Box::new(request), at, key });
+//! let (queue, request, at) = (address, Box::new(request), Duration::from_secs(1));
+//! state.apply(Command::Submit { id: 7, queue, request, at, key: None, room: None });
 //! assert_eq!(state.job(7).unwrap().steps_ready().count(), 1);
 //! ```
 
@@ -40,7 +40,9 @@
 mod life;
 mod model;
 mod review;
+pub mod sizes;
 mod state;
+mod tasks;
 mod withdrawn;
 
 pub use codec::DecodeError;
@@ -59,4 +61,5 @@
 };
 pub use review::{review, Finding, FindingKind};
 pub use state::State;
+pub use tasks::Tasks;
 pub use types::ResourceVector;
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -1,5 +1,6 @@
 //! Job requests and the identifiers of jobs, steps, tasks and runs.
 
+use crate::sizes;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use types::{JobId, ResourceVector, Timestamp, WorkerId};
@@ -117,6 +118,12 @@
         size_of::<JobRequest>() + self.spec.capacity() + steps.sum::<usize>()
     }
 
+    /// Size in bytes by which the state counts it.
+    pub(crate) fn bytes(&self) -> usize {
+        let steps: usize = self.steps.iter().map(StepSpec::bytes).sum();
+        sizes::REQUEST + self.spec.len() + steps
+    }
+
     /// Estimated duration of the critical path: the longest chain of dependent steps.
     pub fn critical_path(&self) -> Duration {
         self.critical_path_by(|step| step.estimate)
@@ -146,6 +153,12 @@
             + labels.sum::<usize>()
     }
 
+    fn bytes(&self) -> usize {
+        let labels = [&self.required_label, &self.data_rack];
+        let labels: usize = labels.into_iter().flatten().map(String::len).sum();
+        sizes::STEP_SPEC + self.after.len() * sizes::DEPENDENCY + self.image.len() + labels
+    }
+
     fn check(&self, position: usize) -> Result<(), String> {
         if self.count == 0 {
             return Err("count: must not be 0".to_string());
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -17,6 +17,7 @@
 use runtimes::Learned;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
+use submissions::Submission;
 use types::{AccountName, JobId, ResourceVector, SortedMap};
 
 /// A queue that is or was configured.
@@ -47,6 +48,9 @@
     learned: Learned,
     /// Last, since snapshots of layout 2 end before it.
     withdrawn: Withdrawn,
+    /// Size of all jobs, in bytes. Not part of snapshots: it follows from the rest.
+    #[serde(skip)]
+    stored: usize,
     /// What the runs of each account use. Not part of snapshots: it follows from the rest.
     #[serde(skip)]
     usage: Usage,
@@ -146,8 +150,9 @@
         let mut effects = Vec::new();
         let reply = match command {
             Command::Configure { configuration } => self.configure(*configuration, &mut effects),
-            Command::Submit { id, queue, request, at, key } => {
-                self.submit(id, &queue, *request, at, key, &mut effects)
+            Command::Submit { id, queue, request, at, key, room } => {
+                let submission = Submission { id, at, key, room };
+                self.submit(submission, &queue, *request, &mut effects)
             }
             Command::Cancel { id, key, at, queue } => {
                 self.cancel(id, queue.as_ref(), key, at, &mut effects)
@@ -252,14 +257,13 @@
             self.in_doubt.iter().any(|start| start.task == task)
         };
         let waits = |index: &u32| {
-            state.tasks.get(*index as usize).is_some_and(|t| t.progress == Progress::Waiting)
-                && !is_in_doubt(*index)
+            state.tasks.progress(*index) == Some(Progress::Waiting) && !is_in_doubt(*index)
         };
         let mut valid: Vec<(u32, LifeId)> =
             tasks.iter().filter(|(index, _)| waits(index)).copied().collect();
         valid.sort_unstable();
         valid.dedup_by_key(|(index, _)| *index);
-        let gang_run = state.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
+        let gang_run = gang.then(|| state.tasks.last_run() + 1);
         let mut taken: Vec<(u32, LifeId)> = Vec::with_capacity(valid.len());
         for (index, id) in &valid {
             let Some(life) = self.lives.get_mut(id) else { continue };
@@ -276,7 +280,7 @@
                 taken.push((*index, *id));
             }
         }
-        let complete = !gang || taken.len() == state.tasks.len();
+        let complete = !gang || taken.len() == state.tasks.count() as usize;
         let job = self.jobs.get_mut(&step.job).expect("found above");
         for (index, id) in taken {
             let task_ref = TaskRef { step: *step, index };
@@ -286,10 +290,10 @@
                 continue;
             }
             job.phase = Phase::Running;
-            let task = &mut job.step_mut(*step).expect("found above").tasks[index as usize];
-            task.run = if gang { gang_run } else { task.run + 1 };
-            task.progress = Progress::Placed(id);
-            let run = task.run;
+            let tasks = &mut job.step_mut(*step).expect("found above").tasks;
+            let before = tasks.bytes();
+            let run = tasks.place(index, id, gang_run);
+            self.stored = self.stored + tasks.bytes() - before;
             let placed = life.runs.iter_mut().find(|r| r.task == task_ref && r.run == 0);
             placed.expect("pushed above").run = run;
             if let Some(account) = &account {
--- a/crates/jobs/src/state/crashes.rs
+++ b/crates/jobs/src/state/crashes.rs
@@ -105,7 +105,7 @@
             };
             effects.push(Effect::GivenUp { task, crashes: self.task_crashes(task) });
             if let Some(job) = self.jobs.get_mut(&id) {
-                end_job(job, Phase::Failed, at, effects);
+                self.stored -= end_job(job, Phase::Failed, at, effects);
             }
         }
     }
@@ -120,7 +120,7 @@
     pub fn is_open(&self, task: &TaskRef) -> bool {
         let job = self.job(task.step.job).filter(|job| !job.phase.is_over());
         let step = job.and_then(|job| job.step(task.step));
-        let found = step.and_then(|step| step.tasks.get(task.index as usize));
-        found.is_some_and(|task| task.progress != Progress::Done)
+        let progress = step.and_then(|step| step.tasks.progress(task.index));
+        progress.is_some_and(|progress| progress != Progress::Done)
     }
 }
--- a/crates/jobs/src/state/ends.rs
+++ b/crates/jobs/src/state/ends.rs
@@ -2,7 +2,7 @@
 
 use super::State;
 use crate::command::Effect;
-use crate::job::{Job, Occurrence, Phase, Progress};
+use crate::job::{Job, Occurrence, Phase, Progress, Task};
 use crate::model::{End, EndKind, LifeId, RunNumber, TaskRef};
 use types::{SortedMap, Timestamp};
 
@@ -35,12 +35,15 @@
             self.task_done(task, spec.gang, id, run, at, effects);
             return;
         }
+        let before = job.step(task.step).map_or(0, |step| step.tasks.bytes());
         let Some(failures) = requeue_after_end(job, task, run, id, kind, saved) else { return };
+        let after = job.step(task.step).map_or(0, |step| step.tasks.bytes());
+        self.stored = self.stored + after - before;
         if spec.gang {
             effects.push(Effect::GangBroken(task.step));
         }
         if kind == EndKind::Failed && failures >= attempts && !spec.long_running {
-            end_job(job, Phase::Failed, at, effects);
+            self.stored -= end_job(job, Phase::Failed, at, effects);
         } else if job.is_ready(task.step) {
             effects.push(Effect::Ready(task.step));
         }
@@ -58,9 +61,9 @@
     ) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(step) = job.step_mut(task.step) else { return };
-        for (index, member) in step.tasks.iter_mut().enumerate() {
-            let index = index as u32;
-            if member.progress == Progress::Done || (!gang && index != task.index) {
+        let before = step.tasks.bytes();
+        for (index, member) in step.tasks.all_touched() {
+            if !gang && index != task.index {
                 continue;
             }
             if let Progress::Placed(other) = member.progress {
@@ -72,24 +75,27 @@
                     effects.push(Effect::Superseded { life: other, task, run: member.run });
                 }
             }
-            member.progress = Progress::Done;
-            member.saved = None;
-            step.done += 1;
         }
+        if gang {
+            step.tasks.finish_all();
+        } else {
+            step.tasks.finish(task.index);
+        }
+        self.stored = self.stored + step.tasks.bytes() - before;
         if !step.is_done() {
             return;
         }
         let occurrence = task.step.occurrence;
         if job.occurrences.get(&occurrence).is_some_and(Occurrence::is_done) {
-            job.occurrences.remove(&occurrence);
+            let removed = job.occurrences.remove(&occurrence);
+            self.stored -= removed.map_or(0, |removed| removed.bytes());
             job.finished += 1;
             if job.finished >= job.times() {
-                end_job(job, Phase::Complete, at, effects);
+                self.stored -= end_job(job, Phase::Complete, at, effects);
             }
             return;
         }
-        let ready = job.steps_ready().filter(|step| step.occurrence == occurrence);
-        effects.extend(ready.map(Effect::Ready));
+        effects.extend(job.steps_ready_of(occurrence).map(Effect::Ready));
     }
 
     pub(super) fn release_lost_run(
@@ -123,11 +129,11 @@
             request.steps.get(usize::from(task.step.step)).is_some_and(|spec| spec.gang)
         });
         let Some(step) = job.step_mut(task.step) else { return };
-        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
-        if state.progress != Progress::Placed(id) || state.run != run {
+        let is_latest = |task: &Task| task.progress == Progress::Placed(id) && task.run == run;
+        if !step.tasks.touched(task.index).is_some_and(is_latest) {
             return;
         }
-        state.progress = Progress::Waiting;
+        step.tasks.release(task.index);
         if gang {
             effects.push(Effect::GangBroken(task.step));
         }
@@ -137,13 +143,20 @@
     }
 }
 
-/// Ends a job and drops the state that only active jobs need.
-pub(super) fn end_job(job: &mut Job, phase: Phase, at: Timestamp, effects: &mut Vec<Effect>) {
+/// Ends a job and drops the state that only active jobs need. Returns its size in bytes.
+pub(super) fn end_job(
+    job: &mut Job,
+    phase: Phase,
+    at: Timestamp,
+    effects: &mut Vec<Effect>,
+) -> usize {
+    let before = job.bytes();
     job.phase = phase;
     job.ended = Some(at);
     job.request = None;
     job.occurrences = SortedMap::default();
     effects.push(Effect::JobOver(job.id));
+    before - job.bytes()
 }
 
 /// Returns the task of an ended run to the waiting state. Returns how often the task, or its gang,
@@ -158,25 +171,21 @@
 ) -> Option<u32> {
     let gang = job.request.as_ref()?.steps.get(usize::from(task.step.step))?.gang;
     let step = job.step_mut(task.step)?;
-    let state = step.tasks.get_mut(task.index as usize)?;
-    if state.progress != Progress::Placed(life) || state.run != run {
-        return None;
-    }
+    let is_latest = |task: &Task| task.progress == Progress::Placed(life) && task.run == run;
+    step.tasks.touched(task.index).filter(|task| is_latest(task))?;
     let failed = kind == EndKind::Failed;
-    state.progress = Progress::Waiting;
+    let state = step.tasks.release(task.index)?;
     state.failures += u32::from(failed);
     let failures = state.failures;
     if !gang {
-        if saved.is_some() {
-            state.saved = saved;
+        if let Some(saved) = saved {
+            step.tasks.save(task.index, &saved);
         }
         return Some(failures);
     }
-    if saved.is_some() {
+    if let Some(saved) = saved {
         // A checkpoint of any member is valid for all, and all must resume from the same one.
-        for member in &mut step.tasks {
-            member.saved.clone_from(&saved);
-        }
+        (0..step.tasks.count()).for_each(|index| step.tasks.save(index, &saved));
     }
     // Several members may fail in the same run, which counts as one failure of the gang.
     if failed && run > step.failed_run {
--- a/crates/jobs/src/state/legacy.rs
+++ b/crates/jobs/src/state/legacy.rs
@@ -1,4 +1,4 @@
-//! Layouts of earlier releases: 2, before withdrawn ids, and that of the release before client
+//! Layouts of earlier releases: 2, before withdrawn ids and with a record of each task, and that of the release before client
 //! accounts, whose snapshots and log entries name no version.
 
 use super::{Queue, State};
@@ -7,22 +7,25 @@
     AdvicePolicy, Configuration, QueueAddress, QueuePolicy, RequestLimits, ServicePolicy,
 };
 use crate::crashes::CrashRecords;
-use crate::job::{Job, Occurrence, Phase};
+use crate::job::{Job, Occurrence, Phase, StepState, Task};
 use crate::life::Life;
-use crate::model::{JobRequest, LifeId, QueueId, TaskRef};
+use crate::model::{InDoubtStart, JobRequest, LifeId, QueueId, RunNumber, TaskRef};
+use accounts::Rates;
+use runtimes::Learned;
 use serde::Deserialize;
 use std::sync::Arc;
 use std::time::Duration;
-use types::{JobId, ServiceName, SortedMap, Timestamp, Version, WorkerId};
+use types::{
+    AccountName, JobId, ResourceVector, ServiceName, SortedMap, Timestamp, Version, WorkerId,
+};
 
 /// Encoding of the last part of the state if no crashes are known. Still earlier releases lack it.
 const NO_CRASH_RECORDS: [u8; 2] = [0, 0];
-/// Encoding of the last part of the state if no ids are withdrawn. Layout 2 lacks it.
-const NO_WITHDRAWN_IDS: [u8; 3] = [0, 0, 0];
-/// Number of the command whose last field layout 2 lacks.
+/// Numbers of the commands whose last field layout 2 lacks.
+const SUBMIT: u8 = 1;
 const CANCEL: u8 = 2;
 /// Encoding of that field if it is not known.
-const NO_QUEUE: [u8; 1] = [0];
+const NONE: [u8; 1] = [0];
 /// Number of commands, counted from the first, whose layout has changed since.
 const CHANGED_COMMANDS: u8 = 3;
 
@@ -54,6 +57,51 @@
     open: bool,
 }
 
+/// A step with a record of each task.
+#[derive(Deserialize)]
+struct OldStepState {
+    tasks: Vec<Task>,
+    _done: u32,
+    gang_failures: u32,
+    failed_run: RunNumber,
+}
+
+#[derive(Deserialize)]
+struct OldOccurrence {
+    steps: Vec<OldStepState>,
+}
+
+/// A job of layout 2.
+#[derive(Deserialize)]
+struct Job2 {
+    id: JobId,
+    queue: QueueId,
+    account: Option<AccountName>,
+    submitted: Timestamp,
+    phase: Phase,
+    ended: Option<Timestamp>,
+    request: Option<Arc<JobRequest>>,
+    occurrences: Vec<(u32, OldOccurrence)>,
+    opened: u32,
+    finished: u32,
+    over_rate: bool,
+}
+
+/// The state of layout 2.
+#[derive(Deserialize)]
+struct State2 {
+    configuration: Arc<Configuration>,
+    queues: Vec<Queue>,
+    jobs: Vec<(JobId, Job2)>,
+    lives: SortedMap<LifeId, Box<Life>>,
+    last_life: LifeId,
+    in_doubt: Vec<InDoubtStart>,
+    crashes: CrashRecords,
+    rates: Rates,
+    former_quotas: SortedMap<AccountName, ResourceVector>,
+    learned: Learned,
+}
+
 #[derive(Deserialize)]
 struct OldJob {
     id: JobId,
@@ -62,7 +110,7 @@
     phase: Phase,
     ended: Option<Timestamp>,
     request: Option<Arc<JobRequest>>,
-    occurrences: SortedMap<u32, Occurrence>,
+    occurrences: Vec<(u32, OldOccurrence)>,
     opened: u32,
     finished: u32,
 }
@@ -95,13 +143,13 @@
 
 /// Decodes the state of a snapshot of layout 2.
 pub(crate) fn decode_state_2(data: &[u8]) -> postcard::Result<State> {
-    postcard::from_bytes(&[data, NO_WITHDRAWN_IDS.as_slice()].concat())
+    Ok(postcard::from_bytes::<State2>(data)?.into())
 }
 
 /// Decodes a log entry of layout 2.
 pub(crate) fn decode_command_2(data: &[u8]) -> postcard::Result<Command> {
     match data.first() {
-        Some(&CANCEL) => postcard::from_bytes(&[data, NO_QUEUE.as_slice()].concat()),
+        Some(&(SUBMIT | CANCEL)) => postcard::from_bytes(&[data, NONE.as_slice()].concat()),
         _ => postcard::from_bytes(data),
     }
 }
@@ -157,6 +205,58 @@
     }
 }
 
+impl From<OldOccurrence> for Occurrence {
+    fn from(old: OldOccurrence) -> Occurrence {
+        let step = |old: OldStepState| StepState {
+            tasks: old.tasks.into(),
+            gang_failures: old.gang_failures,
+            failed_run: old.failed_run,
+        };
+        Occurrence { steps: old.steps.into_iter().map(step).collect() }
+    }
+}
+
+fn occurrences(old: Vec<(u32, OldOccurrence)>) -> SortedMap<u32, Occurrence> {
+    old.into_iter().map(|(index, occurrence)| (index, occurrence.into())).collect()
+}
+
+impl From<Job2> for Job {
+    fn from(old: Job2) -> Job {
+        Job {
+            id: old.id,
+            queue: old.queue,
+            account: old.account,
+            submitted: old.submitted,
+            phase: old.phase,
+            ended: old.ended,
+            request: old.request,
+            occurrences: occurrences(old.occurrences),
+            opened: old.opened,
+            finished: old.finished,
+            over_rate: old.over_rate,
+        }
+    }
+}
+
+impl From<State2> for State {
+    fn from(old: State2) -> State {
+        let job = |(id, job): (JobId, Job2)| (id, Box::new(job.into()));
+        State {
+            configuration: old.configuration,
+            queues: old.queues,
+            jobs: old.jobs.into_iter().map(job).collect(),
+            lives: old.lives,
+            last_life: old.last_life,
+            in_doubt: old.in_doubt,
+            crashes: old.crashes,
+            rates: old.rates,
+            former_quotas: old.former_quotas,
+            learned: old.learned,
+            ..State::default()
+        }
+    }
+}
+
 impl From<OldJob> for Job {
     fn from(old: OldJob) -> Job {
         Job {
@@ -167,7 +267,7 @@
             phase: old.phase,
             ended: old.ended,
             request: old.request,
-            occurrences: old.occurrences,
+            occurrences: occurrences(old.occurrences),
             opened: old.opened,
             finished: old.finished,
             over_rate: false,
@@ -207,7 +307,7 @@
                 Command::Configure { configuration: Box::new(configuration.into()) }
             }
             OldCommand::Submit { id, queue, request, at } => {
-                Command::Submit { id, queue, request, at, key: None }
+                Command::Submit { id, queue, request, at, key: None, room: None }
             }
             OldCommand::Cancel { id, at } => Command::Cancel { id, key: None, at, queue: None },
         }
--- a/crates/jobs/src/state/submissions.rs
+++ b/crates/jobs/src/state/submissions.rs
@@ -10,16 +10,26 @@
 use accounts::KeyDigest;
 use types::{AccountName, JobId, Timestamp};
 
+/// Occurrences of a scheduled job that are opened by one command at most.
+const MAX_OPENED_AT_ONCE: u32 = 64;
+
+/// A submission without its queue and request.
+pub(super) struct Submission {
+    pub(super) id: JobId,
+    pub(super) at: Timestamp,
+    pub(super) key: Option<KeyDigest>,
+    pub(super) room: Option<u64>,
+}
+
 impl State {
     pub(super) fn submit(
         &mut self,
-        id: JobId,
+        submission: Submission,
         queue: &QueueAddress,
         request: JobRequest,
-        at: Timestamp,
-        key: Option<KeyDigest>,
         effects: &mut Vec<Effect>,
     ) -> Reply {
+        let Submission { id, at, key, room } = submission;
         let (queue, account) = match self.check_submission(id, queue, key.as_ref()) {
             Ok(caller) => caller,
             Err(reply) => {
@@ -33,11 +43,17 @@
             effects.push(Effect::BeyondQuota { job: id, step, account: account.clone() });
             return Reply::BeyondQuota(step);
         }
+        let room = room.map_or(usize::MAX, |room| usize::try_from(room).unwrap_or(usize::MAX));
+        if let Some(reply) = self.check_room(account.as_ref(), &request, room) {
+            effects.push(Effect::NoRoom(id));
+            return reply;
+        }
         let scheduled = request.schedule.is_some();
         let mut job = Job::new(id, queue, account, request, at);
         let account = job.account.as_deref();
         let account = account.and_then(|name| self.configuration.accounts.get(name));
         job.over_rate = account.is_some_and(|account| !self.rates.count(account, at));
+        self.stored += job.bytes();
         self.jobs.insert(id, Box::new(job));
         self.charge_earlier_runs(id);
         effects.push(Effect::Accepted(id));
@@ -47,6 +63,39 @@
         Reply::Done
     }
 
+    /// The reply to a new job for which there is no room if all jobs together may have this size in
+    /// bytes; `None` if there is room.
+    pub fn check_room(
+        &self,
+        account: Option<&AccountName>,
+        request: &JobRequest,
+        room: usize,
+    ) -> Option<Reply> {
+        let bytes = Job::new_bytes(account, request);
+        if bytes > room {
+            return Some(Reply::TooLarge { bytes, room });
+        }
+        let missing = (self.stored + bytes).saturating_sub(room);
+        (missing > 0).then_some(Reply::NoRoom { missing })
+    }
+
+    /// Size of all jobs, in bytes.
+    pub fn stored_bytes(&self) -> usize {
+        self.stored
+    }
+
+    /// Total number of occurrences of a scheduled job that may be open or done, where `due` are due.
+    /// A job may have one open whatever its size is, and more as long as all jobs together have
+    /// this size in bytes.
+    pub fn openable(&self, job: &Job, due: u32, room: usize) -> u32 {
+        let Some(request) = &job.request else { return job.opened };
+        let size = Occurrence::new_bytes(request).max(1);
+        let fitting = room.saturating_sub(self.stored) / size;
+        let fitting = u32::try_from(fitting).unwrap_or(u32::MAX).min(MAX_OPENED_AT_ONCE);
+        let least = u32::from(job.occurrences.is_empty());
+        due.min(job.opened.saturating_add(fitting.max(least)))
+    }
+
     /// Returns the queue and the account of a submission that would be new. The error is the reply
     /// to one that is not, or that is refused.
     pub fn check_submission(
@@ -88,9 +137,10 @@
         while job.opened < upto.min(job.times()) {
             let occurrence = job.opened;
             job.opened += 1;
-            job.occurrences.insert(occurrence, Occurrence::new(&request));
-            let ready = job.steps_ready().filter(|step| step.occurrence == occurrence);
-            effects.extend(ready.map(Effect::Ready));
+            let opened = Occurrence::new(&request);
+            self.stored += opened.bytes();
+            job.occurrences.insert(occurrence, opened);
+            effects.extend(job.steps_ready_of(occurrence).map(Effect::Ready));
         }
         Reply::Done
     }
@@ -112,7 +162,7 @@
         let own = |job: &&mut Box<Job>| job.queue == queue && job.account == account;
         if let Some(job) = self.jobs.get_mut(&id).filter(own) {
             if !job.phase.is_over() {
-                end_job(job, Phase::Cancelled, at, effects);
+                self.stored -= end_job(job, Phase::Cancelled, at, effects);
             }
             // Kept as long as an id that was cancelled without a job.
             job.ended = job.ended.max(Some(at));
@@ -155,7 +205,13 @@
     pub(super) fn trim_jobs(&mut self, before: Timestamp) {
         let charged = self.charged_jobs();
         let kept = |job: &Job| job.account.is_some() && charged.binary_search(&job.id).is_ok();
-        self.jobs.retain(|_, job| job.ended.is_none_or(|ended| ended >= before) || kept(job));
+        let mut removed = 0;
+        self.jobs.retain(|_, job| {
+            let keep = job.ended.is_none_or(|ended| ended >= before) || kept(job);
+            removed += if keep { 0 } else { job.bytes() };
+            keep
+        });
+        self.stored -= removed;
         self.forget_crashes_of_ended();
         self.withdrawn.trim(before);
     }
--- a/crates/jobs/src/state/usage.rs
+++ b/crates/jobs/src/state/usage.rs
@@ -5,6 +5,7 @@
 
 use super::State;
 use crate::configuration::Configuration;
+use crate::job::Job;
 use crate::life::Run;
 use crate::model::{InDoubtStart, JobRequest, TaskRef};
 use accounts::Usage;
@@ -136,9 +137,10 @@
         runs.chain(in_doubt.into_iter().map(|start| (start.task, start.need))).collect()
     }
 
-    /// This state with its use counted, after it was decoded.
+    /// This state with its use and size counted, after it was decoded.
     pub(crate) fn recounted(mut self) -> State {
         self.recount_usage();
+        self.stored = self.jobs().map(Job::bytes).sum();
         self
     }
 }
--- a/crates/jobs/src/withdrawn.rs
+++ b/crates/jobs/src/withdrawn.rs
@@ -4,15 +4,12 @@
 //! The cancelled ids are kept, so that a submission that arrives later starts nothing.
 
 use crate::model::QueueId;
+use crate::sizes;
 use serde::{Deserialize, Serialize};
 use types::{AccountName, JobId, SortedMap, Timestamp};
 
 /// Maximum size of all withdrawn ids, in bytes.
 const MAX_BYTES: usize = 2 << 20;
-/// Size of one id.
-const ID_BYTES: usize = size_of::<((JobId, QueueId), Timestamp)>();
-/// Size of a holder without its name.
-const HOLDER_BYTES: usize = size_of::<(Holder, Ids)>();
 
 /// The ids of one holder, and when each was cancelled last.
 type Ids = SortedMap<(JobId, QueueId), Timestamp>;
@@ -33,7 +30,7 @@
     }
 
     fn bytes(&self) -> usize {
-        HOLDER_BYTES
+        sizes::WITHDRAWN_HOLDER
             + match self {
                 Holder::Queue(_) => 0,
                 Holder::Account(name) => name.len(),
@@ -78,10 +75,11 @@
         if held.is_some_and(|ids| ids.contains_key(&(id, queue))) {
             return Ok(());
         }
-        let of_holder = holder.bytes() + held.map_or(0, SortedMap::len) * ID_BYTES;
+        let of_holder = holder.bytes() + held.map_or(0, SortedMap::len) * sizes::WITHDRAWN_ID;
         let others = self.holders.iter().filter(|(other, _)| *other != holder);
-        let others: usize = others.map(|(other, ids)| other.bytes() + ids.len() * ID_BYTES).sum();
-        if 2 * (of_holder + ID_BYTES) + others <= MAX_BYTES {
+        let others: usize =
+            others.map(|(other, ids)| other.bytes() + ids.len() * sizes::WITHDRAWN_ID).sum();
+        if 2 * (of_holder + sizes::WITHDRAWN_ID) + others <= MAX_BYTES {
             return Ok(());
         }
         Err(Full { oldest: self.oldest })
--- a/crates/jobs/tests/layouts.rs
+++ b/crates/jobs/tests/layouts.rs
@@ -81,7 +81,7 @@
 
 fn submit(id: u64, prefix: &str, request: &JobRequest, at: u64) -> Command {
     let (queue, request) = (address(prefix), Box::new(request.clone()));
-    Command::Submit { id, queue, request, at: ms(at), key: None }
+    Command::Submit { id, queue, request, at: ms(at), key: None, room: None }
 }
 
 fn worker(n: u64, draining: bool) -> Command {
@@ -226,7 +226,7 @@
         let step = StepSpec { count: 2, ..StepSpec::default() };
         let request = JobRequest { spec: "text".into(), steps: vec![step], schedule: None };
         let (queue, request) = (address("/p/"), Box::new(request));
-        Command::Submit { id, queue, request, at: ms(1_000 + id), key }
+        Command::Submit { id, queue, request, at: ms(1_000 + id), key, room: None }
     };
     vec![
         Command::Configure { configuration },
--- a/crates/jobs/tests/quotas.rs
+++ b/crates/jobs/tests/quotas.rs
@@ -42,7 +42,7 @@
 fn submit(id: u64, account: &str, steps: Vec<StepSpec>) -> Command {
     let request = Box::new(JobRequest { steps, ..JobRequest::default() });
     let (at, key) = (Duration::from_secs(1), Some(KeyDigest::of(account)));
-    Command::Submit { id, queue: queue(), request, at, key }
+    Command::Submit { id, queue: queue(), request, at, key, room: None }
 }
 
 fn cancel(id: u64, account: &str, at: Duration) -> Command {
--- a/crates/jobs/tests/rates.rs
+++ b/crates/jobs/tests/rates.rs
@@ -34,7 +34,7 @@
     let step = StepSpec { count: 1, ..StepSpec::default() };
     let request = Box::new(JobRequest { steps: vec![step], ..JobRequest::default() });
     let (queue, key) = (QueueAddress::default(), Some(KeyDigest::of("s3cret")));
-    let (reply, _) = state.apply(Command::Submit { id, queue, request, at, key });
+    let (reply, _) = state.apply(Command::Submit { id, queue, request, at, key, room: None });
     assert_eq!(reply, Reply::Done);
     state.job(id).unwrap().over_rate
 }
@@ -57,8 +57,7 @@
 fn rates_survive_a_snapshot() {
     let mut state = state(1.0);
     assert!(!submit(&mut state, 1, START) && !submit(&mut state, 2, START));
-    let data = postcard::to_stdvec(&state).unwrap();
-    let mut restored: State = postcard::from_bytes(&data).unwrap();
+    let mut restored = State::decode(&state.encode()).unwrap();
     assert!(submit(&mut restored, 3, START));
     assert!(submit(&mut state, 3, START));
     assert_eq!(restored, state);
--- a/crates/jobs/tests/withdrawn.rs
+++ b/crates/jobs/tests/withdrawn.rs
@@ -42,7 +42,7 @@
 fn submit(id: JobId, queue: QueueAddress, account: Option<&str>) -> Command {
     let step = StepSpec { count: 1, ..StepSpec::default() };
     let request = Box::new(JobRequest { steps: vec![step], ..JobRequest::default() });
-    Command::Submit { id, queue, request, at: at(1), key: account.map(KeyDigest::of) }
+    Command::Submit { id, queue, request, at: at(1), key: account.map(KeyDigest::of), room: None }
 }
 
 fn cancel(id: JobId, queue: QueueAddress, account: Option<&str>, at: Duration) -> Command {
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -2,13 +2,14 @@
 
 use crate::call::Call;
 use crate::group::Origin;
+use crate::job_log::log_no_room;
 use crate::leader::Leader;
 use crate::node::Node;
 use crate::stats::NodeStats;
 use accounts::{Account, Candidate, Decision};
 use jobs::{JobRequest, QueueAddress, State};
 use std::time::Duration;
-use types::{JobId, Refusal, RefusalKind, SortedMap, Timestamp};
+use types::{AccountName, JobId, Refusal, RefusalKind, SortedMap, Timestamp};
 
 /// Refusals are logged at most this often; each line says how many there were since the last.
 const LOG_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,21 +29,34 @@
         self.proposed.insert(id, ());
     }
 
-    pub(crate) fn record_accepted(&mut self, id: JobId) {
+    /// Records that the proposal of a job was applied, whatever came of it.
+    pub(crate) fn record_applied(&mut self, id: JobId) {
         self.proposed.remove(&id);
     }
 }
 
 impl Node {
-    /// Refuses a new job at once if it could not start in time. Only where accounts are configured.
+    /// Refuses a new job at once if there is no room for it or, where accounts are configured, if it
+    /// could not start in time.
     pub(crate) fn refusal_of(
         &mut self,
         id: JobId,
         queue: &QueueAddress,
+        caller: Option<&AccountName>,
         request: &JobRequest,
         key: Option<&accounts::KeyDigest>,
     ) -> Option<Refusal> {
         let now = self.now;
+        let room = self.cfg.state_room;
+        // A copy of the submission may take effect.
+        if self.leader_mut()?.submissions.proposed.contains_key(&id) {
+            return None;
+        }
+        if let Some(reply) = self.state()?.check_room(caller, request, room) {
+            self.stats.refused_no_room += 1;
+            log_no_room(id, self.state()?.stored_bytes(), room);
+            return self.answer_from_reply(reply).err();
+        }
         let group = self.group.as_mut()?;
         let leader = group.leader.as_deref_mut()?;
         let account = group.state.configuration().accounts.holder(key?)?;
@@ -63,7 +77,9 @@
     /// one that arrives later may be accepted.
     pub(crate) fn weaken_refusal(call: &Call, copies: u32, refusal: Refusal) -> Refusal {
         let submits = matches!(call, Call::Submit { .. });
-        if !submits || copies < 2 || refusal.kind != RefusalKind::Overloaded {
+        let refused_now =
+            [RefusalKind::Overloaded, RefusalKind::Unavailable].contains(&refusal.kind);
+        if !submits || copies < 2 || !refused_now {
             return refusal;
         }
         let cause = "one copy of the call was refused, another may still be carried out";
@@ -72,7 +88,7 @@
 
     /// Proposes a submission.
     pub(crate) fn propose_submission(&mut self, origin: Origin, id: JobId, cmd: jobs::Command) {
-        if let Some(leader) = self.leader_mut().filter(|leader| leader.fairness.is_active()) {
+        if let Some(leader) = self.leader_mut() {
             leader.submissions.record_proposed(id);
         }
         self.propose_for(origin, cmd);
@@ -101,7 +117,7 @@
         let fairness = &mut self.fairness;
         let idle = self.ready.is_empty() || !fairness.admission.is_settled(now);
         let timed = request.schedule.is_some() || request.steps.iter().any(|s| s.long_running);
-        if idle || timed || self.submissions.proposed.contains_key(&id) {
+        if idle || timed {
             return None;
         }
         let queue = state.open_queue(queue)?;
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -75,7 +75,8 @@
         let spec = state.spec(step)?;
         let mut lives = chosen;
         if !spec.gang && !self.advice.has_idle_caller(&advice, now) {
-            let tasks = state.job(step.job)?.step(step)?.waiting().count() * RENEWALS_PER_TASK;
+            let waiting = state.job(step.job)?.step(step)?.tasks.waiting_count() as usize;
+            let tasks = waiting * RENEWALS_PER_TASK;
             let count = tasks.saturating_sub(lives.len()).min(extra_renewals(&advice));
             let aged = self.aged_tickets(step, &spec.charge(), workers, &advice, now);
             let further = aged.into_iter().filter(|life| !lives.contains(life)).take(count);
@@ -161,7 +162,7 @@
         let (spec, job) = (state.spec(step)?, state.job(step.job)?);
         let advice = state.policy(job.queue).advice?;
         let need = spec.charge();
-        let waiting = job.step(step)?.waiting().count() as f64;
+        let waiting = f64::from(job.step(step)?.tasks.waiting_count());
         let eligible_share = self.advice.eligible_share(job.queue);
         if !spec.gang || advice.per_call <= LONG_CALL_OVERHEAD {
             let quiet = self.advice.has_idle_caller(&advice, now);
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -240,13 +240,17 @@
             Call::Submit { id, queue, request, key } => {
                 let at = self.now;
                 match state.check_submission(id, &queue, key.as_ref()) {
-                    Ok(_) => match self.refusal_of(id, &queue, &request, key.as_ref()) {
-                        Some(refusal) => self.answer(origin, Err(refusal)),
-                        None => {
-                            let command = Command::Submit { id, queue, request, at, key };
-                            self.propose_submission(origin, id, command);
+                    Ok((_, account)) => {
+                        match self.refusal_of(id, &queue, account.as_ref(), &request, key.as_ref())
+                        {
+                            Some(refusal) => self.answer(origin, Err(refusal)),
+                            None => {
+                                let room = u64::try_from(self.cfg.state_room).ok();
+                                let command = Command::Submit { id, queue, request, at, key, room };
+                                self.propose_submission(origin, id, command);
+                            }
                         }
-                    },
+                    }
                     Err(reply) => {
                         if reply == Reply::Withdrawn {
                             self.stats.refused_as_withdrawn += 1;
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -21,6 +21,7 @@
     pub(crate) session: SessionConfig,
     pub(crate) tuning: Tuning,
     pub(crate) learn: bool,
+    pub(crate) state_room: usize,
 }
 
 /// Builds a [`NodeConfig`].
@@ -47,6 +48,7 @@
             session: SessionConfig::default(),
             tuning: Tuning::default(),
             learn: true,
+            state_room: 64 << 20,
         })
     }
 
@@ -125,6 +127,13 @@
         self
     }
 
+    /// Sets the size in bytes that all jobs together may have for another one to be accepted. What
+    /// they keep of their running tasks may take half as much again. Default: 64 MiB.
+    pub fn state_room(mut self, bytes: usize) -> Self {
+        self.0.state_room = bytes;
+        self
+    }
+
     /// Finishes the configuration.
     pub fn build(self) -> NodeConfig {
         self.0
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -1,7 +1,7 @@
 //! What waiting steps need, and how urgent they are.
 
 use crate::leader::Leader;
-use jobs::{LifeId, Progress, State, StepRef, Task, TaskRef};
+use jobs::{LifeId, Progress, State, StepRef, TaskRef, Tasks};
 use placement::steps::{Demand, EligibleWorkers, Urgency};
 use std::time::Duration;
 use types::Timestamp;
@@ -14,6 +14,8 @@
 const MAX_QUICK_STOP: Duration = Duration::from_millis(400);
 /// Added to the duration of a call for new tickets: the time for messages between the hosts.
 const RENEWAL_MARGIN: Duration = Duration::from_millis(60);
+/// Tasks of one step, other than a gang, that a pass looks at. A pass places fewer in one command.
+const MAX_TASKS_PER_DEMAND: usize = 1_024;
 /// Largest number of workers assumed in a call for new tickets when its duration is estimated.
 const MAX_RENEWED_TICKETS: usize = 16;
 
@@ -30,7 +32,7 @@
         let job = state.job(step.job)?;
         let spec = state.spec(step)?;
         let progress = job.step(step)?;
-        let tasks = startable(state, step, progress, spec.gang);
+        let tasks = self.startable(state, step, &progress.tasks, spec.gang);
         if tasks.is_empty() {
             return None;
         }
@@ -43,13 +45,17 @@
                 let known = self.advice.step(step).filter(|known| known.any_asked())?;
                 asked_enough = known.asked() >= MIN_ASKED_BEFORE_PAUSING
                     || known.asked() >= self.usable_workers(now);
-                renewal =
-                    advice.duration(progress.tasks.len().min(MAX_RENEWED_TICKETS)) + RENEWAL_MARGIN;
+                renewal = advice
+                    .duration((progress.tasks.count() as usize).min(MAX_RENEWED_TICKETS))
+                    + RENEWAL_MARGIN;
                 EligibleWorkers::Only(known.eligible(advice.ticket_life).collect())
             }
         };
-        let placed =
-            if spec.max_per_worker > 0 { count_placed_by_life(progress) } else { Vec::new() };
+        let placed = if spec.max_per_worker > 0 {
+            count_placed_by_life(&progress.tasks)
+        } else {
+            Vec::new()
+        };
         Some(Demand {
             step,
             account: job.account.clone(),
@@ -90,8 +96,8 @@
         [suspects, others].into_iter().filter(|demand| !demand.tasks.is_empty()).collect()
     }
 
-    fn has_kept_apart(&self, state: &State, step: StepRef, tasks: &[Task]) -> bool {
-        let mut indexes = 0..tasks.len() as u32;
+    fn has_kept_apart(&self, state: &State, step: StepRef, tasks: &Tasks) -> bool {
+        let mut indexes = 0..tasks.count();
         state.has_suspects(step)
             && indexes.any(|index| self.is_kept_apart(state, TaskRef { step, index }))
     }
@@ -112,28 +118,39 @@
         let objective = policy.objective(critical_path);
         Some(Urgency { priority: policy.priority, submitted: due, objective, left })
     }
-}
 
-/// Tasks that wait for placement, without those that a delayed earlier start order may still start
-/// and those that are given up if a silent worker has crashed. No task of a gang is returned if one of them is held back.
-fn startable(state: &State, step: StepRef, progress: &jobs::StepState, gang: bool) -> Vec<u32> {
-    let mut tasks: Vec<u32> = progress.waiting().collect();
-    let in_doubt = |index: &u32| {
-        let task = TaskRef { step, index: *index };
-        state.in_doubt_starts().iter().any(|start| start.task == task)
-            || state.awaits_silent_workers(task)
-    };
-    if gang && tasks.iter().any(in_doubt) {
-        return Vec::new();
+    /// Tasks that wait for placement, without those that a delayed earlier start order may still
+    /// start and those that are given up if a silent worker has crashed. No task of a gang is
+    /// returned if one of them is held back. Without room for more tasks with a history, only such
+    /// tasks are returned.
+    fn startable(&self, state: &State, step: StepRef, tasks: &Tasks, gang: bool) -> Vec<u32> {
+        let in_doubt = |index: &u32| {
+            let task = TaskRef { step, index: *index };
+            state.in_doubt_starts().iter().any(|start| start.task == task)
+                || state.awaits_silent_workers(task)
+        };
+        let full = state.stored_bytes() > touched_room(self.room);
+        let may_start = |index: &u32| !full || tasks.touched(*index).is_some();
+        if gang {
+            let waiting: Vec<u32> = tasks.waiting().collect();
+            let held_back = waiting.iter().any(|index| in_doubt(index) || !may_start(index));
+            return if held_back { Vec::new() } else { waiting };
+        }
+        let free = tasks.waiting().filter(|index| may_start(index) && !in_doubt(index));
+        free.take(MAX_TASKS_PER_DEMAND).collect()
     }
-    tasks.retain(|index| !in_doubt(index));
-    tasks
+}
+
+/// Size in bytes of all jobs up to which tasks without a history are started, where jobs are
+/// accepted up to `room`.
+fn touched_room(room: usize) -> usize {
+    room.saturating_add(room / 2)
 }
 
 /// Number of placed tasks of a step per life.
-fn count_placed_by_life(progress: &jobs::StepState) -> Vec<(LifeId, u32)> {
+fn count_placed_by_life(tasks: &Tasks) -> Vec<(LifeId, u32)> {
     let mut placed: Vec<(LifeId, u32)> = Vec::new();
-    for task in &progress.tasks {
+    for (_, task) in tasks.all_touched() {
         if let Progress::Placed(life) = task.progress {
             match placed.iter_mut().find(|(id, _)| *id == life) {
                 Some((_, count)) => *count += 1,
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -69,8 +69,9 @@
             let since = (wall - schedule.first).as_millis();
             let due = since / schedule.interval.as_millis().max(1) + 1;
             let due = u32::try_from(due).unwrap_or(u32::MAX).min(schedule.times);
-            if due > job.opened {
-                commands.push(Command::OpenOccurrences { id: *id, upto: due });
+            let upto = group.state.openable(job, due, self.cfg.state_room);
+            if upto > job.opened {
+                commands.push(Command::OpenOccurrences { id: *id, upto });
             }
         }
         for life in group.state.lives().filter(|life| life.runs.is_empty()) {
@@ -358,7 +359,7 @@
         Order::Start { task, .. } => {
             let job = state.job(task.step.job)?;
             spec = job.request.as_ref().map(|request| request.spec.clone());
-            let found = job.step(task.step)?.tasks.get(task.index as usize)?;
+            let found = job.step(task.step)?.tasks.touched(task.index)?;
             saved = found.saved.clone();
             ticket = leader.advice.use_ticket(task.step, job.queue, life).map(str::to_string);
         }
--- a/crates/scheduler/src/fairness.rs
+++ b/crates/scheduler/src/fairness.rs
@@ -78,7 +78,7 @@
             return;
         }
         for Placement { step, tasks } in placements {
-            let work = state.spec(*step).map_or(0.0, |spec| self.work(spec, tasks.len()));
+            let work = state.spec(*step).map_or(0.0, |spec| self.work(spec, tasks.len() as u32));
             self.admission.record_placed(work);
         }
     }
@@ -118,12 +118,11 @@
             let (Some(job), Some(spec)) = (state.job(step.job), state.spec(*step)) else {
                 continue;
             };
-            let waiting = job.step(*step).map_or(0, |progress| progress.waiting().count());
+            let waiting = job.step(*step).map_or(0, |progress| progress.tasks.waiting_count());
             let rank = rank(urgency, &self.standing(state, step.job), now);
             let class = work_class(&rank);
             backlog.add(class, job.account.as_ref(), self.work(spec, waiting));
-            let need =
-                (0..waiting).fold(ResourceVector::default(), |sum, _| sum.plus(&spec.charge()));
+            let need = spec.charge().times(waiting);
             let counted = usize::from(rank.yields());
             for sum in &mut self.waiting_need[counted..] {
                 *sum = sum.plus(&need);
@@ -134,16 +133,16 @@
 
     /// Work of a whole job, in cell-seconds.
     fn work_of(&self, request: &JobRequest) -> f64 {
-        request.steps.iter().map(|spec| self.work(spec, spec.count as usize)).sum()
+        request.steps.iter().map(|spec| self.work(spec, spec.count)).sum()
     }
 
     /// Work of some tasks of a step: the time that the whole cell would need for it, in seconds.
-    fn work(&self, spec: &StepSpec, tasks: usize) -> f64 {
+    fn work(&self, spec: &StepSpec, tasks: u32) -> f64 {
         if spec.long_running || self.cell == ResourceVector::default() {
             return 0.0;
         }
         let share = dominant_share(&spec.charge(), &self.cell);
-        tasks as f64 * share * spec.estimate.as_secs_f64()
+        f64::from(tasks) * share * spec.estimate.as_secs_f64()
     }
 }
 
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -239,7 +239,17 @@
         let command = Command::decode(&data)
             .expect("a member reads log entries of its own release and of earlier ones");
         let before = group.state.configuration().clone();
+        let submitted = match &command {
+            Command::Submit { id, .. } => Some(*id),
+            _ => None,
+        };
+        let stored = group.state.stored_bytes();
         let (reply, effects) = group.state.apply(command);
+        let freed = stored.saturating_sub(group.state.stored_bytes());
+        if let Some(leader) = &mut group.leader {
+            leader.room_forecast.record_freed(freed, self.now);
+            submitted.into_iter().for_each(|id| leader.submissions.record_applied(id));
+        }
         if effects.contains(&Effect::Configured) {
             self.config_changes.record(&before, group.state.configuration());
         }
@@ -287,7 +297,7 @@
     }
 
     /// The answer to the caller of an applied command.
-    pub(crate) fn answer_from_reply(&self, reply: Reply) -> Result<Answer, Refusal> {
+    pub(crate) fn answer_from_reply(&mut self, reply: Reply) -> Result<Answer, Refusal> {
         match reply {
             Reply::Done => Ok(Answer::Done),
             Reply::InForce(version) => Ok(Answer::InForce(version)),
@@ -301,6 +311,18 @@
             Reply::IdTaken => {
                 Err(Refusal::new(RefusalKind::Conflict, "id: another job has it already"))
             }
+            Reply::NoRoom { missing } => {
+                let now = self.now;
+                let wait = self.leader_mut().map(|leader| leader.room_forecast.wait(missing, now));
+                let cause = "there is no room for another job now; the job has not run";
+                let refusal = Refusal::new(RefusalKind::Unavailable, cause);
+                Err(refusal.retry_after(wait.unwrap_or(MIN_ROOM_WAIT)))
+            }
+            Reply::TooLarge { bytes, room } => {
+                let cause =
+                    format!("steps: the job takes {bytes} bytes, and all jobs {room} at most");
+                Err(Refusal::new(RefusalKind::TooLarge, cause))
+            }
             Reply::Withdrawn => {
                 let cause = "id: the job was cancelled before this submission arrived";
                 Err(Refusal::new(RefusalKind::Conflict, cause))
--- a/crates/scheduler/src/job_log.rs
+++ b/crates/scheduler/src/job_log.rs
@@ -39,6 +39,11 @@
         "job refused: a step needs more at once than its account's quota allows");
 }
 
+pub(crate) fn log_no_room(job: JobId, stored: usize, room: usize) {
+    log::warn!(job = hex(job).as_str(), stored_bytes = stored, room_bytes = room;
+        "job refused: there is no room for it in the replicated state");
+}
+
 pub(crate) fn log_withdrawn(job: JobId) {
     log::info!(job = hex(job).as_str(); "job cancelled before a submission of it arrived");
 }
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -5,11 +5,12 @@
 use crate::config::NodeConfig;
 use crate::fairness::Fairness;
 use crate::job_log::{
-    hex, kind_name, log_beyond_quota, log_given_up, log_job_over, log_refused_as_withdrawn,
-    log_runs_lost, log_withdrawn, objective_ms,
+    hex, kind_name, log_beyond_quota, log_given_up, log_job_over, log_no_room,
+    log_refused_as_withdrawn, log_runs_lost, log_withdrawn, objective_ms,
 };
 use crate::learning::Learning;
 use crate::quota_waits::QuotaWaits;
+use crate::room::RoomForecast;
 use crate::run_traits::run_traits;
 use crate::stats::NodeStats;
 use crate::zones::Zones;
@@ -76,6 +77,9 @@
     pub(crate) submissions: Submissions,
     /// Longest time that a worker may take to stop a run.
     pub(crate) stop_time: Duration,
+    /// Size in bytes that all jobs together may have for another one to be accepted.
+    pub(crate) room: usize,
+    pub(crate) room_forecast: RoomForecast,
     /// Workers whose lives ended in this step, with tasks that their next lives may still start.
     pub(crate) ended_lives: Vec<(WorkerId, Vec<TaskRef>)>,
     pub(crate) zones: Zones,
@@ -122,6 +126,8 @@
             learning: Learning::new(state, cfg, now),
             submissions: Submissions::default(),
             stop_time: cfg.stop_time,
+            room: cfg.state_room,
+            room_forecast: RoomForecast::default(),
             ended_lives: Vec::new(),
             zones: Zones::default(),
             held_until: SortedMap::default(),
@@ -170,14 +176,16 @@
         if job.finished > 0 {
             return true;
         }
-        let tasks = job.occurrences.iter().flat_map(|(_, o)| &o.steps).flat_map(|s| &s.tasks);
+        let steps = || job.occurrences.iter().flat_map(|(_, o)| &o.steps);
+        if steps().any(|step| step.tasks.done() > 0) {
+            return true;
+        }
         let mut lives = Vec::new();
-        for task in tasks {
+        for (_, task) in steps().flat_map(|step| step.tasks.all_touched()) {
             match task.progress {
-                Progress::Done => return true,
                 Progress::Placed(life) => lives.push(life),
-                Progress::Waiting if task.failures > 0 || task.saved.is_some() => return true,
-                Progress::Waiting => {}
+                _ if task.failures > 0 || task.saved.is_some() => return true,
+                _ => {}
             }
         }
         lives.sort_unstable();
@@ -215,6 +223,10 @@
                     stats.beyond_quota += 1;
                     log_beyond_quota(job, step, account);
                 }
+                Effect::NoRoom(id) => {
+                    stats.refused_no_room += 1;
+                    log_no_room(id, state.stored_bytes(), self.room);
+                }
                 Effect::Withdrawn(id) => log_withdrawn(id),
                 Effect::RefusedAsWithdrawn(id) => {
                     stats.refused_as_withdrawn += 1;
@@ -340,7 +352,6 @@
 
     fn on_accepted(&mut self, state: &State, id: JobId, stats: &mut NodeStats, now: Timestamp) {
         stats.accepted += 1;
-        self.submissions.record_accepted(id);
         let Some(job) = state.job(id) else { return };
         self.fairness.record_accepted(state, job, now);
         let request = job.request.as_ref();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -53,6 +53,7 @@
 mod planning;
 mod quota_waits;
 mod reconfigure;
+mod room;
 mod run_traits;
 mod stats;
 mod votes;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -326,6 +326,7 @@
             if stats.leads {
                 stats.live_voters = live_voters(&group.raft, self.now);
             }
+            stats.stored_bytes = group.state.stored_bytes();
             stats.withdrawn_ids = group.state.withdrawn_ids();
             stats.open_jobs = group.state.jobs().filter(|job| !job.phase.is_over()).count();
             stats.workers = group.state.lives().count();
--- a/crates/scheduler/src/stats.rs
+++ b/crates/scheduler/src/stats.rs
@@ -58,6 +58,10 @@
     pub worker_crashes: u64,
     /// Jobs given up because workers crash under one of their tasks.
     pub jobs_given_up: u64,
+    /// Size of all jobs in the replicated state, in bytes.
+    pub stored_bytes: usize,
+    /// Jobs refused because there was no room for them in the replicated state.
+    pub refused_no_room: u64,
     /// Ids in the replicated state that were cancelled without a job.
     pub withdrawn_ids: usize,
     /// Submissions refused because their job had been cancelled before.
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -168,6 +168,10 @@
     pub(crate) waiting: u64,
     injected_bug: InjectedBug,
     tuning: Tuning,
+    /// Size in bytes up to which hosts that start accept jobs.
+    pub(crate) state_room: usize,
+    /// Submissions that were refused for want of room, with the time after which to come again.
+    pub(crate) refused: Vec<Option<Duration>>,
     pub(crate) crashes: Crashes,
     pub(crate) callers: callers::Callers,
     /// How far the time of day on odd hosts is ahead of the world's.
@@ -269,6 +273,8 @@
             waiting: 0,
             injected_bug,
             tuning,
+            state_room: usize::MAX,
+            refused: Vec::new(),
             crashes: Crashes::default(),
             callers: callers::Callers::default(),
             wall_clock_ahead: 0,
@@ -298,6 +304,7 @@
             .bootstrap(bootstrap)
             .disk(disk)
             .entries_per_snapshot(ENTRIES_PER_SNAPSHOT)
+            .state_room(self.state_room)
             .tuning(self.tuning.clone())
             .revocation_bound(self.callers.bound)
             .session(SessionConfig { injected_bug: self.injected_bug, ..SessionConfig::default() })
@@ -579,6 +586,9 @@
                     RefusalKind::NotFound | RefusalKind::BadInput | RefusalKind::Conflict
                 ) =>
             {
+                if refusal.message.contains("no room") {
+                    self.refused.push(refusal.retry_after);
+                }
                 let host = self.rng.usize(DISKS..HOSTS);
                 let call = Call::Submit { id, queue, request, key };
                 self.after(CALL_RETRY_INTERVAL, Event::Call(host, Box::new(call)));
