--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -127,10 +127,18 @@
         *self = Log::new(snapshot, entries);
     }
 
-    /// Stores a snapshot of the member's own state and drops all but the last `kept` entries that
-    /// it covers.
-    pub(crate) fn compact(&mut self, snapshot: Snapshot, kept: u64) {
-        let drop_to = snapshot.index.saturating_sub(kept);
+    /// Stores a snapshot of the member's own state and drops all but the last entries that it covers:
+    /// at most `kept`, of `kept_bytes` together.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, kept: u64, kept_bytes: usize) {
+        let mut drop_to = snapshot.index;
+        let mut bytes = 0;
+        while drop_to > snapshot.index.saturating_sub(kept) {
+            bytes += self.get(drop_to).map_or(0, entry_bytes);
+            if bytes > kept_bytes {
+                break;
+            }
+            drop_to -= 1;
+        }
         if let Some(term) = self.term_at(drop_to) {
             let first = self.first_index();
             if drop_to >= first {
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -379,7 +379,8 @@
         let Some(term) = self.log.term_at(index) else { return };
         let config = self.log.config_at(index);
         let snapshot = Snapshot { index, term, config, data: std::sync::Arc::new(data) };
-        self.log.compact(snapshot.clone(), self.tuning.kept_entries);
+        let Tuning { kept_entries, kept_bytes, .. } = self.tuning;
+        self.log.compact(snapshot.clone(), kept_entries, kept_bytes);
         self.ready.snapshot = Some(snapshot);
     }
 
--- a/crates/consensus/src/tuning.rs
+++ b/crates/consensus/src/tuning.rs
@@ -15,6 +15,8 @@
     /// Number of entries kept before a snapshot, so that members that are slightly behind do not
     /// need the snapshot.
     pub kept_entries: u64,
+    /// Size of the entries kept before a snapshot, in bytes; fewer are kept if they are larger.
+    pub kept_bytes: usize,
     /// Mechanism to disable; only tests set anything but `None`.
     pub injected_bug: InjectedBug,
 }
@@ -26,6 +28,7 @@
             election_timeout: Duration::from_millis(500),
             max_message_bytes: 1 << 20,
             kept_entries: 1_000,
+            kept_bytes: 4 << 20,
             injected_bug: InjectedBug::None,
         }
     }
--- a/crates/daemon/tests/on_platform.rs
+++ b/crates/daemon/tests/on_platform.rs
@@ -201,6 +201,48 @@
     });
 }
 
+/// Guards against a log that fills disk and memory because it is compacted by its number of entries
+/// alone: large jobs come and are cancelled.
+#[test]
+fn the_log_of_large_jobs_is_compacted_by_its_size() {
+    const JOBS: u64 = 500;
+    /// Half of the disk of the smallest machine with one.
+    const DISK_BYTES: u64 = 64 << 20;
+    let image = "x".repeat(900);
+    let step = format!(r#"{{"count":1,"cpu":1,"memMb":1,"estimateMs":50,"image":"{image}"}}"#);
+    let job = format!(r#"{{"spec":"x","steps":[{}]}}"#, vec![step; 250].join(","));
+    block_on(async {
+        let process = start();
+        process.configure().await;
+        let mut most = 0;
+        for n in 0..JOBS {
+            let id = format!("{n:016x}");
+            let reply = process.post(&id, job.as_bytes()).await;
+            assert_eq!(reply.status, 200, "job {n}: {}", reply.text());
+            let path = format!("/q/{id}");
+            let cancel = process.callers().send(Method::Delete, &path, &HOST, Vec::new()).await;
+            assert_eq!(cancel.unwrap().status, 200);
+            most = most.max(disk_bytes(&process.settings.with_file_name("data")));
+        }
+        let resident = process.resident_kib();
+        println!("{most} bytes of disk at most, {resident} KiB");
+        assert!(most < DISK_BYTES, "{most} bytes of disk");
+        assert!(resident < MEMORY_MB * 1_024 / 2, "{resident} KiB");
+    });
+}
+
+/// Size of all files below a directory.
+fn disk_bytes(dir: &Path) -> u64 {
+    let entries = fs::read_dir(dir).into_iter().flatten().flatten();
+    let size = |entry: fs::DirEntry| match entry.metadata() {
+        Ok(found) if found.is_dir() => disk_bytes(&entry.path()),
+        Ok(found) => found.len(),
+        // It was removed meanwhile.
+        Err(_) => 0,
+    };
+    entries.map(size).sum()
+}
+
 /// Sends a body that is shorter than its `Content-Length`.
 fn cut_short(addr: SocketAddr) {
     let mut stream = TcpStream::connect(addr).unwrap();
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -16,6 +16,7 @@
     pub(crate) max_voters: usize,
     pub(crate) keep_ended: Duration,
     pub(crate) entries_per_snapshot: u64,
+    pub(crate) log_room: usize,
     pub(crate) stop_time: Duration,
     pub(crate) revocation_bound: Option<Duration>,
     pub(crate) session: SessionConfig,
@@ -43,6 +44,7 @@
             max_voters: 5,
             keep_ended: Duration::from_secs(300),
             entries_per_snapshot: 4_096,
+            log_room: 16 << 20,
             stop_time: Duration::from_millis(500),
             revocation_bound: None,
             session: SessionConfig::default(),
@@ -96,6 +98,13 @@
         self
     }
 
+    /// Sets the size in bytes of the commands after which the log is compacted, however many they are.
+    /// Default: 16 MiB.
+    pub fn log_room(mut self, bytes: usize) -> Self {
+        self.0.log_room = bytes;
+        self
+    }
+
     /// Sets how long a worker may take to stop a run. Default: 500 ms.
     pub fn stop_time(mut self, time: Duration) -> Self {
         self.0.stop_time = time;
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -52,6 +52,8 @@
     pub(crate) state: State,
     pub(crate) leader: Option<Box<Leader>>,
     waiters: SortedMap<Index, Waiter>,
+    /// Size in bytes of the commands applied since the last snapshot.
+    applied_bytes: usize,
     /// Reads of the configuration, each with the round of heartbeats that a majority must confirm
     /// before it is answered.
     reads: Vec<(u64, Origin)>,
@@ -68,6 +70,7 @@
             state,
             leader: None,
             waiters: SortedMap::default(),
+            applied_bytes: 0,
             reads: Vec::new(),
             sender_hosts: SortedMap::default(),
         }
@@ -220,6 +223,7 @@
         let snapshot = ready.snapshot.as_ref().expect("a restore includes its snapshot");
         let Some(group) = &mut self.group else { return };
         group.state = decode_state(&snapshot.data);
+        group.applied_bytes = 0;
         let configuration = group.state.configuration().clone();
         let waiters = std::mem::take(&mut group.waiters);
         for waiter in into_values(waiters) {
@@ -236,6 +240,7 @@
             Payload::Command(data) => data,
             Payload::Config(config) => return log_membership(&config, entry.index),
         };
+        group.applied_bytes += data.len();
         let command = Command::decode(&data)
             .expect("a member reads log entries of its own release and of earlier ones");
         let before = group.state.configuration().clone();
@@ -345,12 +350,13 @@
     }
 
     fn compact_if_due(&mut self) {
-        let every = self.cfg.entries_per_snapshot;
+        let (every, log_room) = (self.cfg.entries_per_snapshot, self.cfg.log_room);
         let Some(group) = &mut self.group else { return };
         let applied = group.raft.commit_index();
-        if applied < group.raft.snapshot_index() + every {
+        if applied < group.raft.snapshot_index() + every && group.applied_bytes < log_room {
             return;
         }
+        group.applied_bytes = 0;
         let data = group.state.encode();
         log::info!(index = applied, bytes = data.len(); "state snapshot taken");
         group.raft.compact(applied, data);
