Jobs: what accepted jobs take stops none of their tasks

Cause: found by reading again. Tasks without a record were held back while all jobs took more than one and a half times the leader's room. A leader with less memory than the one that accepted the jobs, or one after an upgrade, would have started nothing of them, for ever.

Change: only the records of touched tasks count for that, up to half of the room; they end or fail, so that the room comes back. The state counts them (Footprint).

Conclusion: a limit on what is accepted must not be one on what was accepted.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,5 +1,6 @@
 //! Jobs and the progress of their steps and tasks.
 
+use crate::footprint::Footprint;
 use crate::model::{JobRequest, LifeId, QueueId, RunNumber, StepRef};
 use crate::sizes;
 use crate::tasks::Tasks;
@@ -95,10 +96,10 @@
         sizes::OCCURRENCE + request.steps.len() * sizes::STEP
     }
 
-    /// Size in bytes.
-    pub(crate) fn bytes(&self) -> usize {
-        let tasks: usize = self.steps.iter().map(|step| step.tasks.bytes()).sum();
-        sizes::OCCURRENCE + self.steps.len() * sizes::STEP + tasks
+    pub(crate) fn footprint(&self) -> Footprint {
+        let mut total = Footprint::of_bytes(sizes::OCCURRENCE + self.steps.len() * sizes::STEP);
+        total += self.steps.iter().map(|step| step.tasks.footprint()).sum();
+        total
     }
 
     /// Whether all steps of the occurrence are done.
@@ -182,12 +183,12 @@
         sizes::JOB + account + request.bytes() + Occurrence::new_bytes(request)
     }
 
-    /// Size in bytes.
-    pub(crate) fn bytes(&self) -> usize {
+    pub(crate) fn footprint(&self) -> Footprint {
         let account = self.account.as_ref().map_or(0, String::len);
         let request = self.request.as_ref().map_or(0, |request| request.bytes());
-        let occurrences: usize = self.occurrences.values().map(Occurrence::bytes).sum();
-        sizes::JOB + account + request + occurrences
+        let mut total = Footprint::of_bytes(sizes::JOB + account + request);
+        total += self.occurrences.values().map(Occurrence::footprint).sum();
+        total
     }
 
     /// Whether tasks of the step can be assigned to workers now.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -36,6 +36,7 @@
 mod configuration;
 mod crashes;
 mod difference;
+mod footprint;
 mod job;
 mod life;
 mod model;
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -9,6 +9,7 @@
 use crate::command::{Command, Effect, Reply};
 use crate::configuration::{Configuration, QueueAddress, QueuePolicy, UnknownKey};
 use crate::crashes::CrashRecords;
+use crate::footprint::Footprint;
 use crate::job::{Job, Phase, Progress};
 use crate::life::{Life, Run, WorkerInfo};
 use crate::model::{InDoubtStart, LifeId, Placement, QueueId, StepRef, TaskRef};
@@ -48,9 +49,9 @@
     learned: Learned,
     /// Last, since snapshots of layout 2 end before it.
     withdrawn: Withdrawn,
-    /// Size of all jobs, in bytes. Not part of snapshots: it follows from the rest.
+    /// What all jobs take. Not part of snapshots: it follows from the rest.
     #[serde(skip)]
-    stored: usize,
+    stored: Footprint,
     /// What the runs of each account use. Not part of snapshots: it follows from the rest.
     #[serde(skip)]
     usage: Usage,
@@ -291,9 +292,9 @@
             }
             job.phase = Phase::Running;
             let tasks = &mut job.step_mut(*step).expect("found above").tasks;
-            let before = tasks.bytes();
+            let before = tasks.footprint();
             let run = tasks.place(index, id, gang_run);
-            self.stored = self.stored + tasks.bytes() - before;
+            self.stored.replace(before, tasks.footprint());
             let placed = life.runs.iter_mut().find(|r| r.task == task_ref && r.run == 0);
             placed.expect("pushed above").run = run;
             if let Some(account) = &account {
--- a/crates/jobs/src/state/ends.rs
+++ b/crates/jobs/src/state/ends.rs
@@ -2,6 +2,7 @@
 
 use super::State;
 use crate::command::Effect;
+use crate::footprint::Footprint;
 use crate::job::{Job, Occurrence, Phase, Progress, Task};
 use crate::model::{End, EndKind, LifeId, RunNumber, TaskRef};
 use types::{SortedMap, Timestamp};
@@ -35,10 +36,10 @@
             self.task_done(task, spec.gang, id, run, at, effects);
             return;
         }
-        let before = job.step(task.step).map_or(0, |step| step.tasks.bytes());
+        let footprint = |job: &Job| job.step(task.step).map(|step| step.tasks.footprint());
+        let before = footprint(job).unwrap_or_default();
         let Some(failures) = requeue_after_end(job, task, run, id, kind, saved) else { return };
-        let after = job.step(task.step).map_or(0, |step| step.tasks.bytes());
-        self.stored = self.stored + after - before;
+        self.stored.replace(before, footprint(job).unwrap_or_default());
         if spec.gang {
             effects.push(Effect::GangBroken(task.step));
         }
@@ -61,11 +62,10 @@
     ) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(step) = job.step_mut(task.step) else { return };
-        let before = step.tasks.bytes();
-        for (index, member) in step.tasks.all_touched() {
-            if !gang && index != task.index {
-                continue;
-            }
+        let before = step.tasks.footprint();
+        let ended = step.tasks.touched(task.index).map(|member| (task.index, member));
+        let others = step.tasks.all_touched().filter(|(index, _)| gang && *index != task.index);
+        for (index, member) in ended.into_iter().chain(others) {
             if let Progress::Placed(other) = member.progress {
                 // Members of the same gang run end by themselves; all other runs must be stopped.
                 let is_ended_run = other == life && member.run == run && index == task.index;
@@ -81,14 +81,14 @@
         } else {
             step.tasks.finish(task.index);
         }
-        self.stored = self.stored + step.tasks.bytes() - before;
+        self.stored.replace(before, step.tasks.footprint());
         if !step.is_done() {
             return;
         }
         let occurrence = task.step.occurrence;
         if job.occurrences.get(&occurrence).is_some_and(Occurrence::is_done) {
             let removed = job.occurrences.remove(&occurrence);
-            self.stored -= removed.map_or(0, |removed| removed.bytes());
+            self.stored -= removed.map(|removed| removed.footprint()).unwrap_or_default();
             job.finished += 1;
             if job.finished >= job.times() {
                 self.stored -= end_job(job, Phase::Complete, at, effects);
@@ -143,20 +143,21 @@
     }
 }
 
-/// Ends a job and drops the state that only active jobs need. Returns its size in bytes.
+/// Ends a job and drops the state that only active jobs need. Returns what that state took.
 pub(super) fn end_job(
     job: &mut Job,
     phase: Phase,
     at: Timestamp,
     effects: &mut Vec<Effect>,
-) -> usize {
-    let before = job.bytes();
+) -> Footprint {
+    let mut freed = job.footprint();
     job.phase = phase;
     job.ended = Some(at);
     job.request = None;
     job.occurrences = SortedMap::default();
     effects.push(Effect::JobOver(job.id));
-    before - job.bytes()
+    freed -= job.footprint();
+    freed
 }
 
 /// Returns the task of an ended run to the waiting state. Returns how often the task, or its gang,
--- a/crates/jobs/src/state/submissions.rs
+++ b/crates/jobs/src/state/submissions.rs
@@ -4,6 +4,7 @@
 use super::State;
 use crate::command::{Effect, Reply};
 use crate::configuration::QueueAddress;
+use crate::footprint::Footprint;
 use crate::job::{Job, Occurrence, Phase};
 use crate::model::{JobRequest, QueueId};
 use crate::withdrawn::{Full, Holder};
@@ -53,7 +54,7 @@
         let account = job.account.as_deref();
         let account = account.and_then(|name| self.configuration.accounts.get(name));
         job.over_rate = account.is_some_and(|account| !self.rates.count(account, at));
-        self.stored += job.bytes();
+        self.stored += job.footprint();
         self.jobs.insert(id, Box::new(job));
         self.charge_earlier_runs(id);
         effects.push(Effect::Accepted(id));
@@ -75,13 +76,18 @@
         if bytes > room {
             return Some(Reply::TooLarge { bytes, room });
         }
-        let missing = (self.stored + bytes).saturating_sub(room);
+        let missing = (self.stored.bytes + bytes).saturating_sub(room);
         (missing > 0).then_some(Reply::NoRoom { missing })
     }
 
     /// Size of all jobs, in bytes.
     pub fn stored_bytes(&self) -> usize {
-        self.stored
+        self.stored.bytes
+    }
+
+    /// Number of tasks of all jobs that were placed before and are not done.
+    pub fn touched_tasks(&self) -> usize {
+        self.stored.touched
     }
 
     /// Total number of occurrences of a scheduled job that may be open or done, where `due` are due.
@@ -90,7 +96,7 @@
     pub fn openable(&self, job: &Job, due: u32, room: usize) -> u32 {
         let Some(request) = &job.request else { return job.opened };
         let size = Occurrence::new_bytes(request).max(1);
-        let fitting = room.saturating_sub(self.stored) / size;
+        let fitting = room.saturating_sub(self.stored.bytes) / size;
         let fitting = u32::try_from(fitting).unwrap_or(u32::MAX).min(MAX_OPENED_AT_ONCE);
         let least = u32::from(job.occurrences.is_empty());
         due.min(job.opened.saturating_add(fitting.max(least)))
@@ -138,7 +144,7 @@
             let occurrence = job.opened;
             job.opened += 1;
             let opened = Occurrence::new(&request);
-            self.stored += opened.bytes();
+            self.stored += opened.footprint();
             job.occurrences.insert(occurrence, opened);
             effects.extend(job.steps_ready_of(occurrence).map(Effect::Ready));
         }
@@ -205,10 +211,12 @@
     pub(super) fn trim_jobs(&mut self, before: Timestamp) {
         let charged = self.charged_jobs();
         let kept = |job: &Job| job.account.is_some() && charged.binary_search(&job.id).is_ok();
-        let mut removed = 0;
+        let mut removed = Footprint::default();
         self.jobs.retain(|_, job| {
             let keep = job.ended.is_none_or(|ended| ended >= before) || kept(job);
-            removed += if keep { 0 } else { job.bytes() };
+            if !keep {
+                removed += job.footprint();
+            }
             keep
         });
         self.stored -= removed;
--- a/crates/jobs/src/state/usage.rs
+++ b/crates/jobs/src/state/usage.rs
@@ -140,7 +140,7 @@
     /// This state with its use and size counted, after it was decoded.
     pub(crate) fn recounted(mut self) -> State {
         self.recount_usage();
-        self.stored = self.jobs().map(Job::bytes).sum();
+        self.stored = self.jobs().map(Job::footprint).sum();
         self
     }
 }
--- a/crates/jobs/src/tasks.rs
+++ b/crates/jobs/src/tasks.rs
@@ -1,5 +1,6 @@
 //! Progress of the tasks of a step.
 
+use crate::footprint::Footprint;
 use crate::job::{Progress, Task};
 use crate::model::{LifeId, RunNumber};
 use crate::sizes;
@@ -89,9 +90,10 @@
         self.placed
     }
 
-    /// Size in bytes of what the tasks keep.
-    pub(crate) fn bytes(&self) -> usize {
-        self.done.len() * sizes::RANGE + self.touched.len() * sizes::TASK + self.saved_bytes
+    pub(crate) fn footprint(&self) -> Footprint {
+        let touched = self.touched.len();
+        let bytes = self.done.len() * sizes::RANGE + touched * sizes::TASK + self.saved_bytes;
+        Footprint { bytes, touched }
     }
 
     /// Highest number of a run of a task that is not done.
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -136,8 +136,8 @@
         self
     }
 
-    /// Sets the size in bytes that all jobs together may have for another one to be accepted. What
-    /// they keep of their running tasks may take half as much again. Default: 64 MiB.
+    /// Sets the size in bytes that all jobs together may have for another one to be accepted. The
+    /// records of their touched tasks may take half as much again. Default: 64 MiB.
     pub fn state_room(mut self, bytes: usize) -> Self {
         self.0.state_room = bytes;
         self
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -1,7 +1,7 @@
 //! What waiting steps need, and how urgent they are.
 
 use crate::leader::Leader;
-use jobs::{LifeId, Progress, State, StepRef, TaskRef, Tasks};
+use jobs::{sizes, LifeId, Progress, State, StepRef, TaskRef, Tasks};
 use placement::steps::{Demand, EligibleWorkers, Urgency};
 use std::time::Duration;
 use types::Timestamp;
@@ -16,6 +16,8 @@
 const RENEWAL_MARGIN: Duration = Duration::from_millis(60);
 /// Tasks of one step, other than a gang, that a pass looks at. A pass places fewer in one command.
 const MAX_TASKS_PER_DEMAND: usize = 1_024;
+/// Part of the room for jobs that the records of touched tasks may take in addition, as a divisor.
+const TOUCHED_DIVISOR: usize = 2;
 /// Largest number of workers assumed in a call for new tickets when its duration is estimated.
 const MAX_RENEWED_TICKETS: usize = 16;
 
@@ -121,15 +123,15 @@
 
     /// Tasks that wait for placement, without those that a delayed earlier start order may still
     /// start and those that are given up if a silent worker has crashed. No task of a gang is
-    /// returned if one of them is held back. Without room for more tasks with a history, only such
-    /// tasks are returned.
+    /// returned if one of them is held back. Without room for more records of touched
+    /// tasks, only touched ones are returned: these end or fail in time.
     fn startable(&self, state: &State, step: StepRef, tasks: &Tasks, gang: bool) -> Vec<u32> {
         let in_doubt = |index: &u32| {
             let task = TaskRef { step, index: *index };
             state.in_doubt_starts().iter().any(|start| start.task == task)
                 || state.awaits_silent_workers(task)
         };
-        let full = state.stored_bytes() > touched_room(self.room);
+        let full = state.touched_tasks() * sizes::TASK > self.room / TOUCHED_DIVISOR;
         let may_start = |index: &u32| !full || tasks.touched(*index).is_some();
         if gang {
             let waiting: Vec<u32> = tasks.waiting().collect();
@@ -141,12 +143,6 @@
     }
 }
 
-/// Size in bytes of all jobs up to which tasks without a history are started, where jobs are
-/// accepted up to `room`.
-fn touched_room(room: usize) -> usize {
-    room.saturating_add(room / 2)
-}
-
 /// Number of placed tasks of a step per life.
 fn count_placed_by_life(tasks: &Tasks) -> Vec<(LifeId, u32)> {
     let mut placed: Vec<(LifeId, u32)> = Vec::new();
