--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -47,7 +47,7 @@
     former_quotas: SortedMap<AccountName, ResourceVector>,
     /// Run times and speeds learned from finished runs.
     learned: Learned,
-    /// Last, since snapshots of layout 2 end before it.
+    /// Ids that were cancelled without a job.
     withdrawn: Withdrawn,
     /// What all jobs take. Not part of snapshots: it follows from the rest.
     #[serde(skip)]
--- a/crates/jobs/src/state/legacy.rs
+++ b/crates/jobs/src/state/legacy.rs
@@ -1,5 +1,5 @@
-//! Layouts of earlier releases: 2, before withdrawn ids and with a record of each task, and that of the release before client
-//! accounts, whose snapshots and log entries name no version.
+//! Layouts of earlier releases: 2, with a record of each task and without withdrawn ids, and that of
+//! the release before client accounts, whose snapshots and log entries name no version.
 
 use super::{Queue, State};
 use crate::command::Command;
--- a/crates/jobs/src/state/submissions.rs
+++ b/crates/jobs/src/state/submissions.rs
@@ -207,7 +207,8 @@
         self.withdrawn.len()
     }
 
-    /// Removes jobs that ended, and ids that were cancelled, before this time, but those whose use still counts for an account.
+    /// Removes jobs that ended, and ids that were cancelled, before this time; not jobs whose use
+    /// still counts for an account.
     pub(super) fn trim_jobs(&mut self, before: Timestamp) {
         let charged = self.charged_jobs();
         let kept = |job: &Job| job.account.is_some() && charged.binary_search(&job.id).is_ok();
