A start that was not received is no evidence against its task

Seen by callers: a job is shown as failed, as if workers crashed under its task, though most of them never had it.

Cause: Session::evidence took a run for one that the worker may have started as soon as a start order was handed out. An order that could not be sent, or whose connection was refused, counted too.

Change: a run is evidence only while a start of it waits for its answer, or after one whose answer does not rule out that it was received.

Test: dispatch a_start_that_was_not_received_is_no_evidence; without the change to evidence.rs it fails (the task is named after NotSent).

Conclusion: the same evidence decides what a silent worker is noted with (WorkerSilent), so that path is covered too.

--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -214,6 +214,7 @@
             pending: None,
             since: now,
             sent_at: None,
+            received: false,
             retry_at: now,
             reported: false,
             listed: false,
--- a/crates/dispatch/src/session/evidence.rs
+++ b/crates/dispatch/src/session/evidence.rs
@@ -33,8 +33,9 @@
     /// the worker is gone. Runs that it lists without being assigned them are among these.
     pub fn evidence(&self) -> Vec<RunEvidence> {
         let may_run = |entry: &&RunEntry| {
-            let sent = entry.sent_at.is_some() || !self.leader_accepted;
-            entry.started || (sent && entry.stage != Stage::Stopped)
+            let received = entry.received || self.awaits_start(entry.task, entry.run);
+            let may_start = received || !self.leader_accepted;
+            entry.started || (may_start && entry.stage != Stage::Stopped)
         };
         let last_answer = self.last_answer.unwrap_or_default();
         let evidence = |entry: &RunEntry| RunEvidence {
--- a/crates/dispatch/src/session/in_doubt.rs
+++ b/crates/dispatch/src/session/in_doubt.rs
@@ -119,6 +119,11 @@
     ) {
         let Some(i) = self.lease_orders.iter().position(|open| open.order == order) else { return };
         let LeaseOrder { start, .. } = self.lease_orders.swap_remove(i);
+        if !matches!(answer, OrderAnswer::Absent | OrderAnswer::NotSent) {
+            for entry in self.runs.iter_mut().filter(|e| Some((e.task, e.run)) == start) {
+                entry.received = true;
+            }
+        }
         let end = match answer {
             OrderAnswer::Absent | OrderAnswer::NotSent => return,
             OrderAnswer::Unanswered { connected_for }
--- a/crates/dispatch/src/session/run.rs
+++ b/crates/dispatch/src/session/run.rs
@@ -29,6 +29,8 @@
     pub(super) since: Timestamp,
     /// When the first start order was sent; `None` if this leader has sent none.
     pub(super) sent_at: Option<Timestamp>,
+    /// The worker may have received a start order.
+    pub(super) received: bool,
     pub(super) retry_at: Timestamp,
     /// The run was reported as lost, which has not been recorded yet.
     pub(super) reported: bool,
--- a/crates/dispatch/tests/session.rs
+++ b/crates/dispatch/tests/session.rs
@@ -329,6 +329,31 @@
     assert!(held.is_some_and(|(_, until)| until >= START + ms(15_000)));
 }
 
+/// Guards against jobs that are given up since workers crash under their tasks, though none of these
+/// was ever started: a start that the worker did not receive is no evidence.
+#[test]
+fn a_start_that_was_not_received_is_no_evidence() {
+    for (answer, is_evidence) in [
+        (Some(OrderAnswer::NotSent), false),
+        (Some(OrderAnswer::Absent), false),
+        (Some(OrderAnswer::Silence), true),
+        (Some(OrderAnswer::Unanswered { connected_for: ms(1) }), true),
+        (None, true),
+    ] {
+        let mut session = polled(&[]);
+        session.add_run(task(0), 1, START + ms(3));
+        let orders = session.poll(START + ms(3));
+        let (start, _) = orders.iter().find(|(_, o)| matches!(o, Order::Start { .. })).unwrap();
+        let text = format!("{answer:?}");
+        if let Some(answer) = answer {
+            session.answered(*start, START + ms(3), answer, START + ms(5));
+        }
+        let tasks: Vec<TaskRef> = session.evidence().iter().map(|run| run.task).collect();
+        let expected = if is_evidence { vec![task(0)] } else { Vec::new() };
+        assert_eq!(tasks, expected, "{text}");
+    }
+}
+
 /// Guards against a run that is never given up because its start was never sent.
 #[test]
 fn a_start_that_was_withdrawn_does_not_keep_its_run() {
