Say how many starts are in doubt, and why tasks are held back

The line "runs given up" said how many tasks are held back and for how long, and not why: a start without an answer and one whose answer names no life looked the same. How often a start gets no answer, and how often that leaves a doubt, was not to be seen at all.

Change: the session keeps the cause of each doubt; the line names how many of the held tasks had a start without an answer (held_unanswered). Two counts: starts_unanswered, and those of them that are in doubt (starts_in_doubt).

Test: dispatch starts_in_doubt_are_counted; the tests of outlasting_starts name the cause as well.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -28,5 +28,6 @@
 pub use advice_usage::{AdviceUsage, CallReason, CallUsage};
 pub use order::{ListedRun, Order, OrderAnswer, OrderId, RefusalReason, RunListing};
 pub use session::{
-    InjectedBug, RunEvidence, RunStatus, RunTraits, Session, SessionConfig, SessionEvent,
+    InjectedBug, OutlastingStarts, RunEvidence, RunStatus, RunTraits, Session, SessionConfig,
+    SessionEvent, StartCounts,
 };
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -10,6 +10,7 @@
 
 pub use config::{InjectedBug, SessionConfig};
 pub use evidence::RunEvidence;
+pub use in_doubt::{OutlastingStarts, StartCounts};
 pub use run::{RunStatus, RunTraits};
 
 use crate::order::{Order, OrderId};
@@ -76,6 +77,7 @@
     unanswered: Vec<(TaskRef, Timestamp)>,
     /// Orders with a lease that wait for their answers.
     lease_orders: Vec<LeaseOrder>,
+    start_counts: StartCounts,
     /// When every lease has certainly expired that the worker's next life may have taken from an
     /// order to this one.
     next_life_lease_end: Timestamp,
@@ -131,6 +133,7 @@
             replaced: false,
             unanswered: Vec::new(),
             lease_orders: Vec::new(),
+            start_counts: StartCounts::default(),
             next_life_lease_end: Timestamp::ZERO,
             identified: None,
             worker: String::new(),
@@ -219,7 +222,7 @@
             reported: false,
             listed: false,
             started: false,
-            in_doubt: false,
+            in_doubt: None,
             working_since: None,
             percent: 0,
             percent_at: now,
--- a/crates/dispatch/src/session/answers.rs
+++ b/crates/dispatch/src/session/answers.rs
@@ -3,7 +3,7 @@
 use super::evidence::MAX_UNWATCHED;
 use super::in_doubt::MAX_ANSWER_DELAY;
 use super::lease::min_elapsed;
-use super::run::Stage;
+use super::run::{Doubt, Stage};
 use super::{ClockReading, InjectedBug, Session, SessionEvent, BACKOFF, GOODBYE_RETRY};
 use crate::order::{OrderAnswer, OrderId, RefusalReason, RunListing};
 use jobs::{End, RunNumber, TaskRef};
@@ -144,10 +144,9 @@
                 (entry.listed, entry.started) = (true, true);
                 // It was this life that has acknowledged the start; an order that got no answer may
                 // still be on its way.
-                entry.in_doubt = self
-                    .unanswered
-                    .iter()
-                    .any(|(task, at)| *task == entry.task && now < *at + delay);
+                let mut unanswered = self.unanswered.iter();
+                let on_its_way = unanswered.any(|(t, at)| *t == entry.task && now < *at + delay);
+                entry.in_doubt = on_its_way.then_some(Doubt::Unanswered);
                 entry.working_since.get_or_insert(now);
                 (entry.percent, entry.percent_at) = (listed.percent, now);
                 match entry.stage {
--- a/crates/dispatch/src/session/in_doubt.rs
+++ b/crates/dispatch/src/session/in_doubt.rs
@@ -1,6 +1,7 @@
 //! Starts that the next life of a worker with the same name may still carry out.
 
 use super::lease::{max_elapsed, LEASE_MARGIN};
+use super::run::Doubt;
 use super::{InjectedBug, Session};
 use crate::order::{OrderAnswer, OrderId};
 use jobs::{RunNumber, TaskRef};
@@ -18,7 +19,34 @@
     pub(super) start: Option<(TaskRef, RunNumber)>,
 }
 
+/// Tasks that the worker's next life may have started or may still start, though every lease of the
+/// life before has expired.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OutlastingStarts {
+    /// The tasks.
+    pub tasks: Vec<TaskRef>,
+    /// How many of them had a start without an answer. The answers for the others do not show
+    /// which life has sent them.
+    pub unanswered: usize,
+    /// Time until which that life may be running them.
+    pub until: Timestamp,
+}
+
+/// Numbers of start orders that got no answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StartCounts {
+    /// Those that may have arrived.
+    pub unanswered: u64,
+    /// Those of them that may have arrived at the worker's next life.
+    pub in_doubt: u64,
+}
+
 impl Session {
+    /// Numbers of start orders of this session that got no answer.
+    pub fn start_counts(&self) -> StartCounts {
+        self.start_counts
+    }
+
     /// Sets the name of the worker.
     pub fn set_worker(&mut self, worker: &str) {
         self.worker = worker.to_string();
@@ -70,24 +98,25 @@
         tasks
     }
 
-    /// Tasks of the runs that the worker's next life may have started or may still start, though
-    /// every lease of this life has expired, and the time until which that life may be running
-    /// them. `None` if there are no such tasks, or the worker answers.
+    /// Which of the runs the worker's next life may have started or may still start, though every
+    /// lease of this life has expired. `None` if there are none, or the worker answers.
     pub fn outlasting_starts(
         &self,
         runs: &[(TaskRef, RunNumber)],
         now: Timestamp,
-    ) -> Option<(Vec<TaskRef>, Timestamp)> {
+    ) -> Option<OutlastingStarts> {
         let certain = self.same_life || self.replaced;
         if certain || self.cfg.injected_bug == InjectedBug::ForgetInDoubtStarts {
             return None;
         }
-        let in_doubt = self.runs.iter().filter(|entry| entry.in_doubt);
-        let lost = in_doubt.filter(|entry| runs.contains(&(entry.task, entry.run)));
-        let tasks: Vec<TaskRef> = lost.map(|entry| entry.task).collect();
+        let lost = self.runs.iter().filter(|entry| runs.contains(&(entry.task, entry.run)));
+        let in_doubt = lost.filter_map(|entry| Some((entry.task, entry.in_doubt?)));
+        let (tasks, doubts): (Vec<TaskRef>, Vec<Doubt>) = in_doubt.unzip();
+        let unanswered = doubts.iter().filter(|doubt| **doubt == Doubt::Unanswered).count();
         let unanswered_end = (!self.lease_orders.is_empty()).then(|| self.last_lease_end(now));
         let until = unanswered_end.into_iter().fold(self.next_life_lease_end, Timestamp::max);
-        (!tasks.is_empty() && now < until).then_some((tasks, until))
+        let outlasting = OutlastingStarts { tasks, unanswered, until };
+        (!outlasting.tasks.is_empty() && now < until).then_some(outlasting)
     }
 
     /// Longest time that the worker's next life may run a task by an order to an earlier life, from
@@ -124,24 +153,25 @@
                 entry.received = true;
             }
         }
-        let end = match answer {
+        let starts = u64::from(start.is_some());
+        let (doubt, end) = match answer {
             OrderAnswer::Absent | OrderAnswer::NotSent => return,
-            OrderAnswer::Unanswered { connected_for }
-                if self.was_alive_at(now.saturating_sub(*connected_for)) =>
-            {
-                return
-            }
             OrderAnswer::Silence | OrderAnswer::Unanswered { .. } => {
+                self.start_counts.unanswered += starts;
+                if self.reached_only_this_life(answer, now) {
+                    return;
+                }
+                self.start_counts.in_doubt += starts;
                 self.unanswered.retain(|(_, at)| now < *at + self.cfg.max_order_delay);
                 self.unanswered.extend(start.map(|(task, _)| (task, now)));
-                self.last_lease_end(sent)
+                (Doubt::Unanswered, self.last_lease_end(sent))
             }
             answer if self.names_life(answer, now) => return,
-            _ => now + max_elapsed(self.cfg.lease) + LEASE_MARGIN,
+            _ => (Doubt::Unnamed, now + max_elapsed(self.cfg.lease) + LEASE_MARGIN),
         };
         self.next_life_lease_end = self.next_life_lease_end.max(end);
         for entry in self.runs.iter_mut().filter(|e| Some((e.task, e.run)) == start) {
-            entry.in_doubt = true;
+            entry.in_doubt = Some(doubt);
         }
     }
 
@@ -159,10 +189,12 @@
         self.lease_orders.iter().any(|open| open.start == Some((task, run)))
     }
 
-    /// Whether this life has answered an order later than this, so that a connection that was open
-    /// then does not lead to the next life.
-    fn was_alive_at(&self, at: Timestamp) -> bool {
-        self.identified.is_some_and(|last| at + MAX_ANSWER_DELAY <= last.at)
+    /// Whether an order without an answer went over a connection that does not lead to the next
+    /// life: this life has answered an order later than it was opened.
+    fn reached_only_this_life(&self, answer: &OrderAnswer, now: Timestamp) -> bool {
+        let OrderAnswer::Unanswered { connected_for } = answer else { return false };
+        let opened = now.saturating_sub(*connected_for);
+        self.identified.is_some_and(|last| opened + MAX_ANSWER_DELAY <= last.at)
     }
 
     /// Whether an answer can only come from this life of the worker. The clock of its next life
--- a/crates/dispatch/src/session/run.rs
+++ b/crates/dispatch/src/session/run.rs
@@ -18,6 +18,15 @@
     Stopped,
 }
 
+/// Why a start order may have reached the worker's next life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Doubt {
+    /// It got no answer, and its connection may lead to that life.
+    Unanswered,
+    /// Its answer does not show which life has sent it.
+    Unnamed,
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct RunEntry {
     pub(super) task: TaskRef,
@@ -38,8 +47,9 @@
     pub(super) listed: bool,
     /// The life has acknowledged the start or listed the run.
     pub(super) started: bool,
-    /// The worker's next life may be running it: a start order may have reached that life.
-    pub(super) in_doubt: bool,
+    /// Why the worker's next life may be running it; `None` if no start order can have reached that
+    /// life.
+    pub(super) in_doubt: Option<Doubt>,
     /// When the run was first known to be running.
     pub(super) working_since: Option<Timestamp>,
     /// Progress in percent, and when the worker reported it.
--- a/crates/dispatch/tests/session.rs
+++ b/crates/dispatch/tests/session.rs
@@ -1,7 +1,8 @@
 //! A session with a single worker, with hand-written answers.
 
 use dispatch::{
-    ListedRun, Order, OrderAnswer, RefusalReason, RunListing, Session, SessionConfig, SessionEvent,
+    ListedRun, Order, OrderAnswer, OutlastingStarts, RefusalReason, RunListing, Session,
+    SessionConfig, SessionEvent, StartCounts,
 };
 use jobs::{End, EndKind, StepRef, TaskRef};
 use std::time::Duration;
@@ -253,7 +254,7 @@
 /// A session with a worker whose host takes no connections, except for one start of run 0 after a
 /// second, which has this answer. Returns when the run was given up, and what
 /// [`Session::outlasting_starts`] said then.
-fn given_up_after(answer: OrderAnswer) -> (Timestamp, Option<(Vec<TaskRef>, Timestamp)>) {
+fn given_up_after(answer: OrderAnswer) -> (Timestamp, Option<OutlastingStarts>) {
     let mut session = polled(&[]);
     session.add_run(task(0), 1, START + ms(3));
     let mut first = Some(answer);
@@ -280,16 +281,16 @@
     // The clock of the next life has begun anew.
     let by_next_life = OrderAnswer::Done { clock: Some(300), listing: None };
     let (at, held) = given_up_after(by_next_life);
-    let (tasks, until) = held.expect("the start is in doubt");
-    assert_eq!(tasks, [task(0)]);
+    let OutlastingStarts { tasks, unanswered, until } = held.expect("the start is in doubt");
+    assert_eq!((tasks, unanswered), (vec![task(0)], 0));
     assert!(at < until && until >= START + ms(1_004 + 6_000 * 100 / 98), "until {until:?}");
     assert!(until < START + ms(8_000), "until {until:?}");
     // A connection that was opened after the last listing may lead to the next life, which carries
     // the order out at last after 12 s.
     for answer in [OrderAnswer::Silence, OrderAnswer::Unanswered { connected_for: ms(500) }] {
         let (_, held) = given_up_after(answer.clone());
-        let (tasks, until) = held.expect("the start is in doubt");
-        assert_eq!(tasks, [task(0)], "{answer:?}");
+        let OutlastingStarts { tasks, unanswered, until } = held.expect("the start is in doubt");
+        assert_eq!((tasks, unanswered), (vec![task(0)], 1), "{answer:?}");
         assert!(
             until >= START + ms(1_003 + 12_000 + 6_000 * 100 / 98),
             "{answer:?}: until {until:?}"
@@ -326,7 +327,7 @@
     session.poll(START + ms(9_002));
     assert_eq!(session.take_events(), [SessionEvent::Lost(vec![(task(0), 1)])]);
     let held = session.outlasting_starts(&[(task(0), 1)], START + ms(9_002));
-    assert!(held.is_some_and(|(_, until)| until >= START + ms(15_000)));
+    assert!(held.is_some_and(|held| held.until >= START + ms(15_000)));
 }
 
 /// Guards against jobs that are given up since workers crash under their tasks, though none of these
@@ -354,6 +355,24 @@
     }
 }
 
+/// A leader counts the starts without an answer, and those of them that the next life may have got.
+#[test]
+fn starts_in_doubt_are_counted() {
+    let counts_after = |answer: OrderAnswer| {
+        let mut session = polled(&[]);
+        session.add_run(task(0), 1, START + ms(3));
+        let orders = session.poll(START + ms(3));
+        let (start, _) = orders.iter().find(|(_, o)| matches!(o, Order::Start { .. })).unwrap();
+        session.answered(*start, START + ms(3), answer, START + ms(5));
+        let StartCounts { unanswered, in_doubt } = session.start_counts();
+        (unanswered, in_doubt)
+    };
+    let unanswered = |connected_for| OrderAnswer::Unanswered { connected_for };
+    assert_eq!(counts_after(unanswered(ms(1))), (1, 1));
+    assert_eq!(counts_after(OrderAnswer::Silence), (1, 1));
+    assert_eq!(counts_after(OrderAnswer::NotSent), (0, 0));
+}
+
 /// Guards against a run that is never given up because its start was never sent.
 #[test]
 fn a_start_that_was_withdrawn_does_not_keep_its_run() {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -179,6 +179,8 @@
             ("jobs_accepted", stats.accepted),
             ("jobs_refused_over_rate", stats.refused_over_rate),
             ("jobs_refused_too_late", stats.refused_too_late),
+            ("starts_unanswered", stats.starts_unanswered),
+            ("starts_in_doubt", stats.starts_in_doubt),
             ("runs_given_up", stats.lost_runs),
             ("worker_crashes", stats.worker_crashes),
             ("jobs_given_up", stats.jobs_given_up),
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -7,7 +7,7 @@
 use crate::message::PeerMessage;
 use crate::node::Node;
 use crate::zones::OVERDUE_AFTER;
-use dispatch::{Order, OrderAnswer, SessionEvent};
+use dispatch::{Order, OrderAnswer, SessionEvent, StartCounts};
 use jobs::{Command, LifeId, StepRef};
 use std::time::Duration;
 use types::{HostId, WorkerId, ZoneName};
@@ -247,8 +247,12 @@
         }
         if let Some(session) = leader.sessions.get_mut(&life) {
             let before = (session.is_usable(now), session.has_listed());
+            let counts = session.start_counts();
             session.answered(order, sent, answer, now);
             let after = (session.is_usable(now), session.has_listed());
+            let StartCounts { unanswered, in_doubt } = session.start_counts();
+            self.stats.starts_unanswered += unanswered - counts.unanswered;
+            self.stats.starts_in_doubt += in_doubt - counts.in_doubt;
             leader.plan_due |= !before.0 && after.0;
             if !before.1 && after.1 {
                 leader.take_back_starts(&group.state, life, now);
--- a/crates/scheduler/src/stats.rs
+++ b/crates/scheduler/src/stats.rs
@@ -52,6 +52,11 @@
     pub refused_over_rate: u64,
     /// Jobs within their account's rate that were refused because they could not start in time.
     pub refused_too_late: u64,
+    /// Start orders that may have arrived and got no answer.
+    pub starts_unanswered: u64,
+    /// Those of them that may have arrived at the worker's next life. Their tasks are held back if
+    /// the worker is given up.
+    pub starts_in_doubt: u64,
     /// Runs given up because their workers never reported an end.
     pub lost_runs: u64,
     /// Crashes of workers.
--- a/crates/scheduler/src/worker_restart.rs
+++ b/crates/scheduler/src/worker_restart.rs
@@ -16,7 +16,7 @@
 
 use crate::group::OnApplied;
 use crate::node::Node;
-use dispatch::Session;
+use dispatch::{OutlastingStarts, Session};
 use jobs::{Command, InDoubtStart, LifeId, RunNumber, TaskRef};
 use types::{Timestamp, WorkerId};
 
@@ -51,10 +51,11 @@
         let silent_ms = session.last_answer().map(|at| now.saturating_sub(at).as_millis() as u64);
         let held = session.outlasting_starts(lost, now);
         log::warn!(worker = worker.as_str(), life = life, runs = lost.len(), answers = answers,
-            silent_ms = silent_ms, held = held.as_ref().map_or(0, |(tasks, _)| tasks.len()),
-            held_ms = held.as_ref().map(|(_, until)| until.saturating_sub(now).as_millis() as u64);
+            silent_ms = silent_ms, held = held.as_ref().map_or(0, |held| held.tasks.len()),
+            held_unanswered = held.as_ref().map_or(0, |held| held.unanswered),
+            held_ms = held.as_ref().map(|held| held.until.saturating_sub(now).as_millis() as u64);
             "runs given up: their worker reported no end");
-        let Some((tasks, until)) = held else { return };
+        let Some(OutlastingStarts { tasks, until, .. }) = held else { return };
         let command = Command::StartsInDoubt { worker: worker.clone(), tasks, at: now };
         if self.propose(&command, OnApplied::Nothing) {
             if let Some(leader) = self.leader_mut() {
