Pool: connections are values, with a label and turns

A burst of starts opened a connection for each beyond those kept, and closed it again.

Change: Pool hands out connections and takes them back. A label says what a connection leads to, as its user has found out; the pool knows no more of it. Taking one with a label closes those with another. Beyond the number that is kept, the connection that was idle longest is closed and no more the one that was just used, since dead ones were kept otherwise. A server's turns bound how many connections the requests that take turns use at a time (async-lock, which async-std uses already).

Pool::exchange is as before for its users.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use error::{Error, ErrorKind};
 pub use http_types::Method;
-pub use pool::{ExchangeError, OutgoingRequest, Pool};
+pub use pool::{Connection, ExchangeError, Label, OutgoingRequest, Pool};
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -4,6 +4,7 @@
 //! anything else it is closed, so that a late response can't be taken for that of another request.
 
 use crate::Reply;
+use async_lock::{Semaphore, SemaphoreGuardArc};
 use async_std::future::timeout;
 use async_std::io::{self, ReadExt};
 use async_std::net::TcpStream;
@@ -12,7 +13,7 @@
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use quick_error::quick_error;
 use std::net::Shutdown;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use types::SortedMap;
 
@@ -52,23 +53,37 @@
     pub body: Vec<u8>,
 }
 
-/// Pool of idle connections to any number of servers, by `ip:port`.
+/// What a connection leads to, as its user has found out over it.
+pub type Label = u64;
+
+/// Connections to any number of servers, by `ip:port`: those that are idle, and how many a server may
+/// be sent requests on in turn.
 pub struct Pool {
-    idle: Mutex<SortedMap<String, Vec<Connection>>>,
+    servers: Mutex<SortedMap<String, Server>>,
     max_body: u64,
 }
 
-/// An open connection, and since when it is open.
-#[derive(Clone)]
-struct Connection {
+/// What is kept for one server.
+#[derive(Default)]
+struct Server {
+    idle: Vec<Connection>,
+    /// Made by the first request that takes a turn.
+    turns: Option<Arc<Semaphore>>,
+}
+
+/// A connection that carries no exchange. It is closed when dropped.
+pub struct Connection {
     stream: TcpStream,
+    addr: String,
     opened: Instant,
+    label: Option<Label>,
+    max_body: u64,
 }
 
 impl Pool {
     /// Creates a pool that accepts responses with bodies of at most `max_body` bytes.
     pub fn new(max_body: u64) -> Pool {
-        Pool { idle: Mutex::default(), max_body }
+        Pool { servers: Mutex::default(), max_body }
     }
 
     /// Sends a request and reads the response. `limit` applies to connecting and to the exchange
@@ -80,24 +95,15 @@
         limit: Duration,
         max_idle: usize,
     ) -> Result<Reply, ExchangeError> {
-        let connection = self.connection(addr, limit).await;
-        let connection = connection.map_err(|e| match e.kind() {
-            io::ErrorKind::ConnectionRefused => ExchangeError::Refused(e.to_string()),
-            _ => ExchangeError::NotSent(e.to_string()),
-        })?;
-        // From here on the request may have been sent.
-        let guard = CloseOnDrop(Some(connection.clone()));
-        let Connection { stream, opened } = connection;
-        match timeout(limit, self.send_and_receive(stream, addr, outgoing)).await {
-            Ok(Ok((reply, reusable))) => {
-                if reusable {
-                    self.put_back(addr, guard, max_idle);
-                }
-                Ok(reply)
-            }
-            Ok(Err(e)) => Err(ExchangeError::Lost(e.to_string(), opened.elapsed())),
-            Err(_) => Err(ExchangeError::Lost("timed out".to_string(), opened.elapsed())),
+        let connection = match self.take(addr, None) {
+            Some(idle) => idle,
+            None => self.connect(addr, limit).await?,
+        };
+        let (reply, connection) = connection.exchange(outgoing, limit).await?;
+        if let Some(connection) = connection {
+            self.put_back(connection, max_idle);
         }
+        Ok(reply)
     }
 
     /// Closes the idle connections to servers for which `f` returns false.
@@ -105,32 +111,95 @@
     where
         F: Fn(&str) -> bool,
     {
-        self.idle.lock().expect("lock is not poisoned").retain(|addr, _| f(addr));
+        self.lock().retain(|addr, _| f(addr));
+    }
+
+    /// Waits for one of the `turns` of a server. Requests that take turns use at most so many of its
+    /// connections at a time.
+    pub async fn turn(&self, addr: &str, turns: usize) -> SemaphoreGuardArc {
+        let semaphore = {
+            let mut servers = self.lock();
+            let server = servers.get_or_insert_with(addr.to_string(), Server::default);
+            server.turns.get_or_insert_with(|| Arc::new(Semaphore::new(turns))).clone()
+        };
+        semaphore.acquire_arc().await
     }
 
-    /// Returns an idle connection that is still open, or opens a new one.
-    async fn connection(&self, addr: &str, limit: Duration) -> io::Result<Connection> {
-        while let Some(idle) = self.take_idle(addr) {
+    /// Takes an idle connection that is still open: one with this label if there is one, otherwise
+    /// one without a label. Those with another label are closed. Without `label` it is the one that
+    /// was used last.
+    pub fn take(&self, addr: &str, label: Option<Label>) -> Option<Connection> {
+        loop {
+            let idle = {
+                let mut servers = self.lock();
+                let idle = &mut servers.get_mut(addr)?.idle;
+                if label.is_some() {
+                    idle.retain(|c| c.label.is_none() || c.label == label);
+                }
+                let best = idle.iter().rposition(|c| label.is_some() && c.label == label);
+                match best {
+                    Some(i) => idle.remove(i),
+                    None => idle.pop()?,
+                }
+            };
             if is_reusable(&idle.stream) {
-                return Ok(idle);
+                return Some(idle);
             }
         }
+    }
+
+    /// Opens a connection within `limit`, or a second if that is shorter.
+    pub async fn connect(&self, addr: &str, limit: Duration) -> Result<Connection, ExchangeError> {
         let limit = limit.min(CONNECT_TIMEOUT);
         let connecting = timeout(limit, TcpStream::connect(addr)).await;
-        let stream = connecting.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        stream.set_nodelay(true)?;
-        Ok(Connection { stream, opened: Instant::now() })
+        let connecting = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let stream = connecting.and_then(|stream| stream.set_nodelay(true).map(|()| stream));
+        let stream = stream.map_err(|e| match e.kind() {
+            io::ErrorKind::ConnectionRefused => ExchangeError::Refused(e.to_string()),
+            _ => ExchangeError::NotSent(e.to_string()),
+        })?;
+        let (addr, opened, max_body) = (addr.to_string(), Instant::now(), self.max_body);
+        Ok(Connection { stream, addr, opened, label: None, max_body })
+    }
+
+    /// Keeps a connection for later requests. If `max_idle` to its server are idle, closes the one
+    /// that has been idle longest.
+    pub fn put_back(&self, connection: Connection, max_idle: usize) {
+        let mut servers = self.lock();
+        let server = servers.get_or_insert_with(connection.addr.clone(), Server::default);
+        server.idle.push(connection);
+        let excess = server.idle.len().saturating_sub(max_idle);
+        server.idle.drain(..excess);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SortedMap<String, Server>> {
+        self.servers.lock().expect("lock is not poisoned")
+    }
+}
+
+impl Connection {
+    /// What the connection leads to, if that is known.
+    pub fn label(&self) -> Option<Label> {
+        self.label
     }
 
-    fn take_idle(&self, addr: &str) -> Option<Connection> {
-        self.idle.lock().expect("lock is not poisoned").get_mut(addr)?.pop()
+    /// Sets what the connection leads to.
+    pub fn set_label(&mut self, label: Label) {
+        self.label = Some(label);
     }
 
-    fn put_back(&self, addr: &str, mut guard: CloseOnDrop, max_idle: usize) {
-        let mut idle = self.idle.lock().expect("lock is not poisoned");
-        let kept = idle.get_or_insert_with(addr.to_string(), Vec::new);
-        if kept.len() < max_idle {
-            kept.extend(guard.0.take());
+    /// Sends a request and reads the response within `limit`. Also returns the connection if it can
+    /// carry another exchange.
+    pub async fn exchange(
+        self,
+        outgoing: &OutgoingRequest,
+        limit: Duration,
+    ) -> Result<(Reply, Option<Connection>), ExchangeError> {
+        let outcome = timeout(limit, self.send_and_receive(outgoing)).await;
+        match outcome {
+            Ok(Ok((reply, reusable))) => Ok((reply, reusable.then_some(self))),
+            Ok(Err(e)) => Err(ExchangeError::Lost(e.to_string(), self.opened.elapsed())),
+            Err(_) => Err(ExchangeError::Lost("timed out".to_string(), self.opened.elapsed())),
         }
     }
 
@@ -138,17 +207,15 @@
     /// be reused.
     async fn send_and_receive(
         &self,
-        stream: TcpStream,
-        addr: &str,
         outgoing: &OutgoingRequest,
     ) -> http_types::Result<(Reply, bool)> {
-        let url = format!("http://{addr}{}", outgoing.path);
+        let url = format!("http://{}{}", self.addr, outgoing.path);
         let mut req = Request::new(outgoing.method, Url::parse(&url)?);
         for (name, value) in &outgoing.headers {
             req.append_header(name.as_str(), value.as_str());
         }
         req.set_body(Body::from_bytes(outgoing.body.clone()));
-        let mut res = async_h1::connect(stream, req).await?;
+        let mut res = async_h1::connect(self.stream.clone(), req).await?;
         let body = self.read_body(&mut res, outgoing.method).await?;
         let closes = res
             .header(CONNECTION)
@@ -191,15 +258,10 @@
     }
 }
 
-/// Shuts a connection down when dropped, unless it was taken out for reuse.
-struct CloseOnDrop(Option<Connection>);
-
-impl Drop for CloseOnDrop {
+impl Drop for Connection {
     fn drop(&mut self) {
-        if let Some(connection) = &self.0 {
-            // An error means that the connection is closed already.
-            let _ = connection.stream.shutdown(Shutdown::Both);
-        }
+        // An error means that the connection is closed already.
+        let _ = self.stream.shutdown(Shutdown::Both);
     }
 }
 
