A start goes only over a connection to its life: lost workers hold nothing back

Cause: the session waits 13 s and a lease for a start without an answer, unless its connection was open 2 s before the life's last answer, as it may have reached the worker's next life. A busy worker gets most starts over newer connections. Ruled out: answers that name no life (none), and polls (nothing is held back where no start is in doubt).

Change: a process that starts anew has none of the connections of the one before. platform labels a connection with the life that has listed its runs over it, and sends a start only over one with its label; another one is tried first, by an order that lists the runs and grants nothing. If that gets no answer, or another life's, the start was not sent. dispatch decides from the answer (ONLY_THIS_LIFE, an age of the connection that hosts of the earlier version read as an old one, so protocol 9 stays).

The same cause on other paths: a life that is seen to be over held back all runs that it had not listed, also those that it had answered for or that were never sent (in_doubt_starts); an answer that can't be read.

The simulated world has connections now: a start over one to a life never reaches the next, however late; hosts of the earlier version (a third of the histories all, a third each second one) may still reach it. The three older tests of worker_restart.rs play such hosts, and fail on a session without the doubt (ForgetInDoubtStarts).

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -76,6 +76,8 @@
     stream: TcpStream,
     addr: String,
     opened: Instant,
+    /// How long it took to open the connection.
+    connecting: Duration,
     label: Option<Label>,
     max_body: u64,
 }
@@ -151,15 +153,17 @@
     /// Opens a connection within `limit`, or a second if that is shorter.
     pub async fn connect(&self, addr: &str, limit: Duration) -> Result<Connection, ExchangeError> {
         let limit = limit.min(CONNECT_TIMEOUT);
-        let connecting = timeout(limit, TcpStream::connect(addr)).await;
-        let connecting = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-        let stream = connecting.and_then(|stream| stream.set_nodelay(true).map(|()| stream));
+        let began = Instant::now();
+        let connected = timeout(limit, TcpStream::connect(addr)).await;
+        let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let stream = connected.and_then(|stream| stream.set_nodelay(true).map(|()| stream));
         let stream = stream.map_err(|e| match e.kind() {
             io::ErrorKind::ConnectionRefused => ExchangeError::Refused(e.to_string()),
             _ => ExchangeError::NotSent(e.to_string()),
         })?;
-        let (addr, opened, max_body) = (addr.to_string(), Instant::now(), self.max_body);
-        Ok(Connection { stream, addr, opened, label: None, max_body })
+        let (addr, opened) = (addr.to_string(), Instant::now());
+        let connecting = opened - began;
+        Ok(Connection { stream, addr, opened, connecting, label: None, max_body: self.max_body })
     }
 
     /// Keeps a connection for later requests. If `max_idle` to its server are idle, closes the one
@@ -183,6 +187,11 @@
         self.label
     }
 
+    /// How long it took to open the connection, which is a round trip.
+    pub fn connecting(&self) -> Duration {
+        self.connecting
+    }
+
     /// Sets what the connection leads to.
     pub fn set_label(&mut self, label: Label) {
         self.label = Some(label);
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -108,7 +108,7 @@
     /// No answer arrived on a connection that had been open for this long by then. The process that
     /// had accepted the connection may have carried out the order, or may still.
     Unanswered {
-        /// Time since the connection was opened.
+        /// Time since the connection was opened, or [`OrderAnswer::ONLY_THIS_LIFE`].
         connected_for: Duration,
     },
     /// The connection could not be opened in time; the order was not received.
@@ -116,6 +116,11 @@
 }
 
 impl OrderAnswer {
+    /// Age of a connection over which the life that the order is for has listed its runs. No other
+    /// life can have received the order. Hosts that don't know this value take the connection for
+    /// an old one, with the same consequence.
+    pub const ONLY_THIS_LIFE: Duration = Duration::MAX;
+
     /// Whether the worker has answered. Otherwise it may still have carried out the order.
     ///
     /// ```
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -220,7 +220,6 @@
             received: false,
             retry_at: now,
             reported: false,
-            listed: false,
             started: false,
             in_doubt: None,
             working_since: None,
--- a/crates/dispatch/src/session/answers.rs
+++ b/crates/dispatch/src/session/answers.rs
@@ -141,7 +141,7 @@
             let listed =
                 listing.running.iter().find(|listed| matches_entry(&listed.task, listed.run));
             if let Some(listed) = listed {
-                (entry.listed, entry.started) = (true, true);
+                entry.started = true;
                 // It was this life that has acknowledged the start; an order that got no answer may
                 // still be on its way.
                 let mut unanswered = self.unanswered.iter();
--- a/crates/dispatch/src/session/in_doubt.rs
+++ b/crates/dispatch/src/session/in_doubt.rs
@@ -83,14 +83,17 @@
     }
 
     /// Tasks that the worker's next life with the same name may have started or may still start.
-    /// The start order got no answer, or an answer that does not identify the life, or was sent by
-    /// an earlier leader.
+    /// The start order waits for its answer, or got one that does not identify the life, or none and
+    /// may have reached that life; or it was sent by an earlier leader.
     pub fn in_doubt_starts(&self, now: Timestamp) -> Vec<TaskRef> {
         if self.replaced || self.cfg.injected_bug == InjectedBug::ForgetInDoubtStarts {
             return Vec::new();
         }
         let recent = self.unanswered.iter().filter(|(_, at)| now < *at + self.cfg.max_order_delay);
-        let open = self.runs.iter().filter(|entry| !self.leader_accepted || !entry.listed);
+        let open = self.runs.iter().filter(|entry| {
+            let doubtful = entry.in_doubt.is_some() || self.awaits_start(entry.task, entry.run);
+            !self.leader_accepted || doubtful
+        });
         let mut tasks: Vec<TaskRef> =
             recent.map(|(task, _)| *task).chain(open.map(|entry| entry.task)).collect();
         tasks.sort_unstable();
@@ -190,11 +193,14 @@
     }
 
     /// Whether an order without an answer went over a connection that does not lead to the next
-    /// life: this life has answered an order later than it was opened.
+    /// life: this life has listed its runs over it, or has answered an order later than it was
+    /// opened.
     fn reached_only_this_life(&self, answer: &OrderAnswer, now: Timestamp) -> bool {
         let OrderAnswer::Unanswered { connected_for } = answer else { return false };
         let opened = now.saturating_sub(*connected_for);
-        self.identified.is_some_and(|last| opened + MAX_ANSWER_DELAY <= last.at)
+        let answered_later =
+            self.identified.is_some_and(|last| opened + MAX_ANSWER_DELAY <= last.at);
+        *connected_for == OrderAnswer::ONLY_THIS_LIFE || answered_later
     }
 
     /// Whether an answer can only come from this life of the worker. The clock of its next life
--- a/crates/dispatch/src/session/run.rs
+++ b/crates/dispatch/src/session/run.rs
@@ -43,8 +43,6 @@
     pub(super) retry_at: Timestamp,
     /// The run was reported as lost, which has not been recorded yet.
     pub(super) reported: bool,
-    /// The worker has listed the run in an answer that identifies its life.
-    pub(super) listed: bool,
     /// The life has acknowledged the start or listed the run.
     pub(super) started: bool,
     /// Why the worker's next life may be running it; `None` if no start order can have reached that
--- a/crates/dispatch/tests/session.rs
+++ b/crates/dispatch/tests/session.rs
@@ -303,7 +303,9 @@
 fn a_start_that_no_other_life_can_hold_is_not_in_doubt() {
     let by_this_life = OrderAnswer::Done { clock: Some(6_200), listing: None };
     let old_connection = OrderAnswer::Unanswered { connected_for: ms(5_000) };
-    for answer in [by_this_life, old_connection, OrderAnswer::NotSent, OrderAnswer::Absent] {
+    let own_connection = OrderAnswer::Unanswered { connected_for: OrderAnswer::ONLY_THIS_LIFE };
+    let not_received = [OrderAnswer::NotSent, OrderAnswer::Absent];
+    for answer in [by_this_life, old_connection, own_connection].into_iter().chain(not_received) {
         let (at, held) = given_up_after(answer.clone());
         assert!(at < START + ms(9_000), "{answer:?}: given up at {at:?}");
         assert_eq!(held, None, "{answer:?}");
@@ -330,6 +332,36 @@
     assert!(held.is_some_and(|held| held.until >= START + ms(15_000)));
 }
 
+/// Guards against tasks that are held back when a life is seen to be over, though the next life can't
+/// have started them: the start was answered by this life, or went over a connection to it, or is
+/// still to be sent.
+#[test]
+fn a_life_that_is_over_leaves_only_the_starts_in_doubt_that_another_may_have_got() {
+    let own_connection = OrderAnswer::Unanswered { connected_for: OrderAnswer::ONLY_THIS_LIFE };
+    let new_connection = OrderAnswer::Unanswered { connected_for: ms(1) };
+    let by_this_life = OrderAnswer::Done { clock: Some(6_200), listing: None };
+    for (answer, in_doubt) in [
+        (Some(by_this_life), false),
+        (Some(own_connection), false),
+        (Some(OrderAnswer::NotSent), false),
+        (Some(new_connection), true),
+        (Some(OrderAnswer::Silence), true),
+        (None, true),
+    ] {
+        let mut session = polled(&[]);
+        session.add_run(task(0), 1, START + ms(3));
+        assert_eq!(session.in_doubt_starts(START + ms(3)), [], "not sent yet");
+        let orders = session.poll(START + ms(3));
+        let (start, _) = orders.iter().find(|(_, o)| matches!(o, Order::Start { .. })).unwrap();
+        let text = format!("{answer:?}");
+        if let Some(answer) = answer {
+            session.answered(*start, START + ms(3), answer, START + ms(5));
+        }
+        let expected = if in_doubt { vec![task(0)] } else { Vec::new() };
+        assert_eq!(session.in_doubt_starts(START + ms(10)), expected, "{text}");
+    }
+}
+
 /// Guards against jobs that are given up since workers crash under their tasks, though none of these
 /// was ever started: a start that the worker did not receive is no evidence.
 #[test]
@@ -338,7 +370,7 @@
         (Some(OrderAnswer::NotSent), false),
         (Some(OrderAnswer::Absent), false),
         (Some(OrderAnswer::Silence), true),
-        (Some(OrderAnswer::Unanswered { connected_for: ms(1) }), true),
+        (Some(OrderAnswer::Unanswered { connected_for: OrderAnswer::ONLY_THIS_LIFE }), true),
         (None, true),
     ] {
         let mut session = polled(&[]);
@@ -368,6 +400,7 @@
         (unanswered, in_doubt)
     };
     let unanswered = |connected_for| OrderAnswer::Unanswered { connected_for };
+    assert_eq!(counts_after(unanswered(OrderAnswer::ONLY_THIS_LIFE)), (1, 0));
     assert_eq!(counts_after(unanswered(ms(1))), (1, 1));
     assert_eq!(counts_after(OrderAnswer::Silence), (1, 1));
     assert_eq!(counts_after(OrderAnswer::NotSent), (0, 0));
--- a/crates/scheduler/src/duties.rs
+++ b/crates/scheduler/src/duties.rs
@@ -171,7 +171,12 @@
             leader.last_order += 1;
             let number = leader.last_order;
             let answer_expected = now + envelope.timeout.saturating_sub(ORDER_TIMEOUT);
-            let expires = now + envelope.timeout + FORWARD_TIMEOUT;
+            // As much again may pass before a start is sent, until a connection to its life is found.
+            let preparation = match envelope.order {
+                Order::Start { .. } => envelope.timeout,
+                Order::Stop { .. } | Order::Hold { .. } => Duration::ZERO,
+            };
+            let expires = now + preparation + envelope.timeout + FORWARD_TIMEOUT;
             let open = OpenOrder { life, order: id, sent: now, answer_expected, expires };
             leader.orders.insert(number, open);
             let zone = group.state.life(life).map(|life| &life.info.zone);
--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -389,6 +389,12 @@
     for _ in DISKS..shape.disks {
         world.add_host(clocks.u64(..MAX_CLOCK_DIFFERENCE));
     }
+    // Hosts of an earlier version: none, all, or each second one.
+    world.connections.earlier_hosts.extend(match seed % 3 {
+        0 => Vec::new(),
+        1 => (0..HOSTS).collect(),
+        _ => (0..HOSTS).step_by(2).collect(),
+    });
     let with_accounts = shape.accounts != Quota::NoAccounts;
     if with_accounts {
         world.quotas = Some(Quotas::new(seed, shape.accounts == Quota::Withheld));
--- a/crates/scheduler/tests/worker_restart.rs
+++ b/crates/scheduler/tests/worker_restart.rs
@@ -5,11 +5,12 @@
 
 use dispatch::InjectedBug;
 use jobs::{Phase, ResourceVector, StepSpec};
+use std::ops::Range;
 use std::time::Duration;
-use world::{World, WORKERS};
+use world::{World, HOSTS, WORKERS};
 
 /// Workers that crash; the others take over their work.
-const CRASHED: std::ops::Range<usize> = 0..3;
+const CRASHED: Range<usize> = 0..3;
 /// A crashed worker is back after this time, in milliseconds.
 const AWAY: u64 = 1_200;
 /// A lease lasts at most this long, in milliseconds.
@@ -20,8 +21,15 @@
     StepSpec { count, need, estimate: Duration::from_secs(9), ..StepSpec::default() }
 }
 
+/// Creates a world in which the next life of a worker may get the starts for the life before, since
+/// the hosts are of an earlier version.
 fn started_world(seed: u64) -> World {
+    started_world_of(seed, 0..HOSTS)
+}
+
+fn started_world_of(seed: u64, earlier_hosts: Range<usize>) -> World {
     let mut world = World::new(seed, InjectedBug::None);
+    world.connections.earlier_hosts.extend(earlier_hosts);
     world.min_duration = 9_000;
     world.configure(1);
     world.run_until(6_000 + seed % 7 * 200);
@@ -46,6 +54,20 @@
     world.cut_workers.iter().copied().collect()
 }
 
+/// Guards against a start that the next life of its worker carries out, however the restart falls.
+#[test]
+fn no_next_life_accepts_a_start_for_the_life_before() {
+    for seed in 1..=20 {
+        let mut world = started_world_of(seed, 0..0);
+        assert_eq!(cut_off_next_lives(&mut world), [], "seed {seed}");
+        world.run_until(world.now + 30_000);
+        world.ask_all();
+        world.run_until(world.now + 500);
+        assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
+        assert_eq!(world.jobs[&1].shown, Some(Phase::Complete), "seed {seed}");
+    }
+}
+
 /// Guards against a task that runs on two workers: the next life of a worker accepts a start that
 /// was sent to the life before, and is cut off before the leader knows of it.
 #[test]
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -3,6 +3,7 @@
 
 #[allow(dead_code)] // Not all tests that share this module use it.
 pub(crate) mod callers;
+mod connections;
 mod crashes;
 mod logger;
 pub(crate) mod losses;
@@ -11,6 +12,7 @@
 mod runs;
 pub(crate) mod worker;
 
+use connections::Connections;
 use consensus::{Entry, HardState, Ready, Restored, Snapshot, Tuning};
 use crashes::Crashes;
 use dispatch::{InjectedBug, OrderAnswer, SessionConfig};
@@ -52,6 +54,8 @@
     Advised(usize, u64, u64, Vec<(String, String)>),
     /// A worker that holds a poll open checks for ends; the last field is the time of its answer.
     PollDue(usize, u64, u64, Box<OrderEnvelope>, u64),
+    /// A new connection for an order is tried: sending host, process, number, order.
+    Trial(usize, u64, u64, Box<OrderEnvelope>),
     /// The work of a run ends on a worker.
     RunEnd(usize, u64, TaskRef, RunNumber),
     /// A run ends if its gang is still incomplete.
@@ -177,6 +181,7 @@
     /// Submissions that were refused for want of room, with the time after which to come again.
     pub(crate) refused: Vec<Option<Duration>>,
     pub(crate) crashes: Crashes,
+    pub(crate) connections: Connections,
     pub(crate) callers: callers::Callers,
     /// How far the time of day on odd hosts is ahead of the world's.
     pub(crate) wall_clock_ahead: u64,
@@ -282,6 +287,7 @@
             state_room: usize::MAX,
             refused: Vec::new(),
             crashes: Crashes::default(),
+            connections: Connections::default(),
             callers: callers::Callers::default(),
             wall_clock_ahead: 0,
             quotas: None,
@@ -568,6 +574,9 @@
     }
 
     fn on_order(&mut self, i: usize, process: u64, number: u64, envelope: Box<OrderEnvelope>) {
+        if self.is_bound(i, &envelope) {
+            return self.send_bound(i, process, number, envelope);
+        }
         let late = self.rng.u32(..100) < self.late_orders;
         if late {
             let timeout = envelope.timeout.as_millis() as u64;
@@ -697,6 +706,9 @@
             Event::OrderArrival(i, process, number, envelope, late) => {
                 self.deliver_order(i, process, number, envelope, late)
             }
+            Event::Trial(i, process, number, envelope) => {
+                self.deliver_trial(i, process, number, envelope)
+            }
             Event::OrderAnswered(i, process, number, answer) => {
                 if self.hosts[i].process == process {
                     self.input(i, Input::OrderAnswered(number, answer));
--- a/crates/scheduler/tests/world/runs.rs
+++ b/crates/scheduler/tests/world/runs.rs
@@ -77,6 +77,10 @@
         let w = index_of(&envelope.worker);
         let timeout = envelope.timeout.as_millis() as u64;
         let cut = self.cut_workers.contains(&w);
+        if self.is_bound(i, &envelope) && !late && !self.has_life(&envelope) {
+            let noticed_after = if cut || self.crashes.dark { timeout } else { 1 };
+            return self.lose_bound(i, process, number, &envelope, noticed_after);
+        }
         if !self.workers[w].up && !cut && !self.crashes.dark {
             if !late {
                 self.after(1, Event::OrderAnswered(i, process, number, OrderAnswer::Absent));
@@ -122,12 +126,20 @@
             }
         }
         let answer = self.handle_order(w, &envelope, late);
+        if is_poll && !late && matches!(answer, OrderAnswer::Done { .. }) {
+            self.note_connection(i, process, &envelope);
+        }
         if !late {
             self.after(1, Event::OrderAnswered(i, process, number, answer));
         }
     }
 
-    fn handle_order(&mut self, w: usize, envelope: &OrderEnvelope, late: bool) -> OrderAnswer {
+    pub(super) fn handle_order(
+        &mut self,
+        w: usize,
+        envelope: &OrderEnvelope,
+        late: bool,
+    ) -> OrderAnswer {
         let now = self.now;
         eprintln!(
             "{now} w{w} late {late} fence {}/{} wfence {}/{} born {} for {} {:?}",
