Storage: file operations as functions that a test can replace

The data directory called the operating system directly, so no test could see what an open syncs or what a power loss leaves of it (set_sync_fn comes after the open). Files holds the operations; DataDir::open_unlocked takes them. No change of logic: the directory is opened, read and written as before.

--- a/crates/storage/src/data_dir.rs
+++ b/crates/storage/src/data_dir.rs
@@ -1,11 +1,12 @@
 //! The data directory: its lock, its identity, the saved release and the groups.
 
 use crate::frame::{self, Frame};
-use crate::{Error, GroupStore, Opened};
+use crate::{Error, Files, GroupStore, Opened};
 use serde::{Deserialize, Serialize};
-use std::fs::{self, File, TryLockError};
-use std::io::Write;
+use std::fs::{File, TryLockError};
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use types::{HostId, MemberId, Release, ZoneName};
 
 const IDENTITY_FILE: &str = "identity.json";
@@ -30,26 +31,54 @@
 /// An open data directory. No other process can open it until this value is dropped.
 #[derive(Debug)]
 pub struct DataDir {
+    files: Arc<Files>,
     path: PathBuf,
     identity: Identity,
-    _lock: File,
+    /// `None` if the caller has the directory to itself.
+    _lock: Option<File>,
 }
 
 impl DataDir {
     /// Opens the data directory at `path`. Creates it, with an identity derived from `seed`, if it
     /// does not exist. Fails if another process has it open or it belongs to another host or zone.
     pub fn open(path: &Path, host: &str, zone: &str, seed: u64) -> Result<DataDir, Error> {
-        fs::create_dir_all(path).map_err(Error::io(path, "creating the data directory"))?;
+        std::fs::create_dir_all(path).map_err(Error::io(path, "creating the data directory"))?;
         let lock = lock(&path.join(LOCK_FILE))?;
-        let identity = match read_identity(&path.join(IDENTITY_FILE))? {
+        let dir = DataDir::open_unlocked(Files::of_system(), path, host, zone, seed)?;
+        Ok(DataDir { _lock: Some(lock), ..dir })
+    }
+
+    /// Opens the data directory at `path` of `files`, like [`DataDir::open`], but without a lock:
+    /// no other process must have it open.
+    ///
+    /// ```
+    /// # let tmp = tempfile::tempdir().unwrap();
+    /// let files = storage::Files::of_system();
+    /// let path = tmp.path().join("data");
+    /// let dir = storage::DataDir::open_unlocked(files, &path, "a-1", "zone-a", 42).unwrap();
+    /// assert_eq!(dir.identity().host, "a-1");
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Those of [`DataDir::open`], except [`Error::Locked`].
+    pub fn open_unlocked(
+        files: Files,
+        path: &Path,
+        host: &str,
+        zone: &str,
+        seed: u64,
+    ) -> Result<DataDir, Error> {
+        create_dir(&files, path)?;
+        let identity = match read_identity(&files, &path.join(IDENTITY_FILE))? {
             Some(identity) => identity,
-            None => create_identity(path, host, zone, seed)?,
+            None => create_identity(&files, path, host, zone, seed)?,
         };
         if identity.host != host || identity.zone != zone {
             let has = format!("{} in {}", identity.host, identity.zone);
             return Err(Error::WrongOwner(path.to_path_buf(), has, format!("{host} in {zone}")));
         }
-        Ok(DataDir { path: path.to_path_buf(), identity, _lock: lock })
+        Ok(DataDir { files: Arc::new(files), path: path.to_path_buf(), identity, _lock: None })
     }
 
     /// The identity of this data directory.
@@ -60,10 +89,8 @@
     /// The release saved last, or `None` if none was saved yet.
     pub fn read_release(&self) -> Result<Option<Release>, Error> {
         let path = self.path.join(RELEASE_FILE);
-        if !path.exists() {
-            return Ok(None);
-        }
-        let buf = fs::read(&path).map_err(Error::io(&path, "reading the release"))?;
+        let buf = (self.files.read)(&path).map_err(Error::io(&path, "reading the release"))?;
+        let Some(buf) = buf else { return Ok(None) };
         match frame::decode(&buf) {
             Frame::Complete(release, _) => Ok(Some(release)),
             _ => Err(Error::Corrupt(path, 0, "the release is incomplete or corrupt".to_string())),
@@ -72,7 +99,7 @@
 
     /// Saves a release. It is durable when this function returns.
     pub fn save_release(&self, release: &Release) -> Result<(), Error> {
-        replace_file(&self.path.join(RELEASE_FILE), &frame::encode(release))
+        replace_file(&self.files, &self.path.join(RELEASE_FILE), &frame::encode(release))
     }
 
     /// Whether the directory has a store of the group `name`.
@@ -90,7 +117,7 @@
 
     /// Opens or creates the store of the group `name`.
     pub fn open_group(&self, name: &str) -> Result<Opened, Error> {
-        GroupStore::open(&self.path.join(name))
+        GroupStore::open(self.files.clone(), &self.path.join(name))
     }
 }
 
@@ -105,40 +132,66 @@
     }
 }
 
-fn read_identity(path: &Path) -> Result<Option<Identity>, Error> {
-    if !path.exists() {
-        return Ok(None);
+/// Creates a directory and those that are missing above it. Returns whether it was missing.
+pub(crate) fn create_dir(files: &Files, path: &Path) -> Result<bool, Error> {
+    let mut created = (files.create_dir)(path);
+    if created.as_ref().is_err_and(|e| e.kind() == ErrorKind::NotFound) {
+        create_dir(files, parent(path))?;
+        created = (files.create_dir)(path);
+    }
+    match created {
+        Ok(()) => Ok(true),
+        Err(e) if e.kind() == ErrorKind::AlreadyExists => Ok(false),
+        Err(e) => Err(Error::io(path, "creating the directory")(e)),
     }
-    let text = fs::read_to_string(path).map_err(Error::io(path, "reading the identity"))?;
+}
+
+fn read_identity(files: &Files, path: &Path) -> Result<Option<Identity>, Error> {
+    let buf = (files.read)(path).map_err(Error::io(path, "reading the identity"))?;
+    let Some(buf) = buf else { return Ok(None) };
     let corrupt = |cause: String| Error::Corrupt(path.to_path_buf(), 0, cause);
-    let identity: Identity = serde_json::from_str(&text).map_err(|e| corrupt(e.to_string()))?;
+    let identity: Identity = serde_json::from_slice(&buf).map_err(|e| corrupt(e.to_string()))?;
     if identity.format != FORMAT {
         return Err(corrupt(format!("format {} is unknown, expected {FORMAT}", identity.format)));
     }
     Ok(Some(identity))
 }
 
-fn create_identity(dir: &Path, host: &str, zone: &str, seed: u64) -> Result<Identity, Error> {
+fn create_identity(
+    files: &Files,
+    dir: &Path,
+    host: &str,
+    zone: &str,
+    seed: u64,
+) -> Result<Identity, Error> {
     let member = fastrand::Rng::with_seed(seed).u64(1..);
     let identity =
         Identity { format: FORMAT, member, host: host.to_string(), zone: zone.to_string() };
     let text = serde_json::to_string_pretty(&identity).expect("an identity is plain data");
-    replace_file(&dir.join(IDENTITY_FILE), text.as_bytes())?;
+    replace_file(files, &dir.join(IDENTITY_FILE), text.as_bytes())?;
     Ok(identity)
 }
 
 /// Replaces a file atomically: after a crash it has either the old or the new contents.
-pub(crate) fn replace_file(path: &Path, contents: &[u8]) -> Result<(), Error> {
+pub(crate) fn replace_file(files: &Files, path: &Path, contents: &[u8]) -> Result<(), Error> {
     let tmp = path.with_extension("tmp");
-    let mut file = File::create(&tmp).map_err(Error::io(&tmp, "creating the file"))?;
-    file.write_all(contents).map_err(Error::io(&tmp, "writing"))?;
-    file.sync_all().map_err(Error::io(&tmp, "syncing"))?;
-    fs::rename(&tmp, path).map_err(Error::io(path, "renaming"))?;
-    sync_dir(path.parent().expect("a file has a parent directory"))
+    let mut file = (files.create)(&tmp).map_err(Error::io(&tmp, "creating the file"))?;
+    (file.append)(contents).map_err(Error::io(&tmp, "writing"))?;
+    (file.sync)().map_err(Error::io(&tmp, "syncing"))?;
+    (files.rename)(&tmp, path).map_err(Error::io(path, "renaming"))?;
+    sync_dir(files, parent(path))
 }
 
 /// Syncs a directory, which makes created, renamed and deleted entries durable.
-pub(crate) fn sync_dir(path: &Path) -> Result<(), Error> {
-    let dir = File::open(path).map_err(Error::io(path, "opening the directory"))?;
-    dir.sync_all().map_err(Error::io(path, "syncing the directory"))
+pub(crate) fn sync_dir(files: &Files, path: &Path) -> Result<(), Error> {
+    (files.sync_dir)(path).map_err(Error::io(path, "syncing the directory"))
+}
+
+/// The directory that a path is in.
+pub(crate) fn parent(path: &Path) -> &Path {
+    match path.parent() {
+        Some(parent) if parent.as_os_str().is_empty() => Path::new("."),
+        Some(parent) => parent,
+        None => path,
+    }
 }
--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -1,13 +1,13 @@
 //! The store of one group: a snapshot file and a log in numbered segment files.
 
-use crate::data_dir::sync_dir;
+use crate::data_dir::{create_dir, parent, sync_dir};
 use crate::frame::{self, Frame};
-use crate::{snapshot, Error};
+use crate::{snapshot, Error, Files, OpenFile};
 use consensus::{Config, Entry, HardState, Index, Ready, Restored, Snapshot};
 use serde::{Deserialize, Serialize};
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
+use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 const SNAPSHOT_FILE: &str = "snapshot";
 const SEGMENT_PREFIX: &str = "log-";
@@ -16,7 +16,7 @@
 pub type Opened = (GroupStore, Option<Restored>);
 
 /// A function that syncs a file to disk. Tests replace it by one that fails.
-pub type SyncFn = Box<dyn FnMut(&File) -> io::Result<()> + Send>;
+pub type SyncFn = Box<dyn FnMut(&mut OpenFile) -> io::Result<()> + Send>;
 
 /// The contents of one log frame, which is written at once.
 #[derive(Default, Serialize, Deserialize)]
@@ -34,9 +34,10 @@
 
 /// The durable log and snapshot of one group.
 pub struct GroupStore {
+    files: Arc<Files>,
     path: PathBuf,
     /// The open segment, which frames are appended to.
-    file: File,
+    file: OpenFile,
     /// Number of the open segment.
     number: u64,
     /// Highest index of an entry in the open segment, or 0 without entries.
@@ -60,19 +61,18 @@
 impl GroupStore {
     /// Opens the store at `path`, or creates it. Replays the existing segments and starts a new
     /// one, so that no frame is appended to a segment that an earlier process wrote.
-    pub(crate) fn open(path: &Path) -> Result<Opened, Error> {
-        if !path.exists() {
-            fs::create_dir_all(path).map_err(Error::io(path, "creating the group's directory"))?;
-            sync_dir(path.parent().expect("the group's directory is in the data directory"))?;
+    pub(crate) fn open(files: Arc<Files>, path: &Path) -> Result<Opened, Error> {
+        if create_dir(&files, path)? {
+            sync_dir(&files, parent(path))?;
         }
-        let snapshot = snapshot::read(&path.join(SNAPSHOT_FILE))?;
-        let numbers = segment_numbers(path)?;
+        let snapshot = snapshot::read(&files, &path.join(SNAPSHOT_FILE))?;
+        let numbers = segment_numbers(&files, path)?;
         let mut hard_state = HardState::default();
         let mut entries = Vec::new();
         let mut closed = Vec::new();
         for (i, number) in numbers.iter().enumerate() {
             let is_last = i + 1 == numbers.len();
-            let batches = read_segment(&segment_path(path, *number), is_last)?;
+            let batches = read_segment(&files, &segment_path(path, *number), is_last)?;
             let mut last_index = 0;
             for batch in batches {
                 hard_state = batch.hard_state.unwrap_or(hard_state);
@@ -82,8 +82,9 @@
             closed.push(ClosedSegment { number: *number, last_index });
         }
         let number = numbers.last().map_or(1, |n| n + 1);
-        let file = create_segment(path, number)?;
+        let file = create_segment(&files, path, number)?;
         let mut store = GroupStore {
+            files,
             path: path.to_path_buf(),
             file,
             number,
@@ -92,7 +93,7 @@
             hard_state,
             pending: Batch::default(),
             unsynced: false,
-            sync: Box::new(File::sync_data),
+            sync: Box::new(|file| (file.sync)()),
         };
         let Some(snapshot) = snapshot else { return Ok((store, None)) };
         store.pending.hard_state = Some(hard_state);
@@ -107,7 +108,7 @@
     /// Records that the group was formed with the members of `config`, as a snapshot at index 0.
     pub fn form_group(&mut self, config: &Config) -> Result<(), Error> {
         let formed = Restored::new_group(config.clone());
-        snapshot::write(&self.path.join(SNAPSHOT_FILE), &formed.snapshot)
+        snapshot::write(&self.files, &self.path.join(SNAPSHOT_FILE), &formed.snapshot)
     }
 
     /// Replaces the function that syncs the log, so that tests can make it fail.
@@ -121,7 +122,7 @@
     /// earlier one, which can't be told from damage.
     pub fn append(&mut self, ready: &Ready) -> Result<(), Error> {
         if let Some(snapshot) = &ready.snapshot {
-            snapshot::write(&self.path.join(SNAPSHOT_FILE), snapshot)?;
+            snapshot::write(&self.files, &self.path.join(SNAPSHOT_FILE), snapshot)?;
             self.hard_state = ready.hard_state.unwrap_or(self.hard_state);
             self.rotate(snapshot.index, ready.restore, &ready.entries)?;
             return Ok(());
@@ -155,7 +156,7 @@
         if pending.hard_state.is_some() {
             self.write_batch(&pending)?;
         }
-        (self.sync)(&self.file).map_err(Error::io(&self.path, "syncing the log"))?;
+        (self.sync)(&mut self.file).map_err(Error::io(&self.path, "syncing the log"))?;
         Ok(true)
     }
 
@@ -168,7 +169,7 @@
         self.pending = Batch::default();
         self.closed.push(ClosedSegment { number: self.number, last_index: self.last_index });
         self.number += 1;
-        self.file = create_segment(&self.path, self.number)?;
+        self.file = create_segment(&self.files, &self.path, self.number)?;
         self.last_index = 0;
         self.pending = Batch { hard_state: Some(self.hard_state), entries: entries.to_vec() };
         self.unsynced = true;
@@ -178,16 +179,17 @@
         let keep_from = self.closed.iter().position(needed).unwrap_or(self.closed.len());
         for old in self.closed.drain(..keep_from) {
             let path = segment_path(&self.path, old.number);
-            fs::remove_file(&path).map_err(Error::io(&path, "deleting the old segment"))?;
+            let deleted = (self.files.remove)(&path);
+            deleted.map_err(Error::io(&path, "deleting the old segment"))?;
         }
-        sync_dir(&self.path)
+        sync_dir(&self.files, &self.path)
     }
 
     fn write_batch(&mut self, batch: &Batch) -> Result<(), Error> {
         let last_index = batch.entries.last().map_or(0, |e| e.index);
         self.last_index = self.last_index.max(last_index);
         let buf = frame::encode(batch);
-        self.file.write_all(&buf).map_err(Error::io(&self.path, "writing the log"))
+        (self.file.append)(&buf).map_err(Error::io(&self.path, "writing the log"))
     }
 }
 
@@ -195,28 +197,25 @@
     dir.join(format!("{SEGMENT_PREFIX}{number:012}"))
 }
 
-fn segment_numbers(dir: &Path) -> Result<Vec<u64>, Error> {
-    let mut numbers = Vec::new();
-    for item in fs::read_dir(dir).map_err(Error::io(dir, "listing"))? {
-        let name = item.map_err(Error::io(dir, "listing"))?.file_name();
-        let digits = name.to_str().and_then(|n| n.strip_prefix(SEGMENT_PREFIX));
-        numbers.extend(digits.and_then(|d| d.parse::<u64>().ok()));
-    }
+fn segment_numbers(files: &Files, dir: &Path) -> Result<Vec<u64>, Error> {
+    let names = (files.list)(dir).map_err(Error::io(dir, "listing"))?;
+    let digits = names.iter().filter_map(|name| name.strip_prefix(SEGMENT_PREFIX));
+    let mut numbers: Vec<u64> = digits.filter_map(|d| d.parse().ok()).collect();
     numbers.sort_unstable();
     Ok(numbers)
 }
 
-fn create_segment(dir: &Path, number: u64) -> Result<File, Error> {
+fn create_segment(files: &Files, dir: &Path, number: u64) -> Result<OpenFile, Error> {
     let path = segment_path(dir, number);
-    let file = OpenOptions::new().create_new(true).append(true).open(&path);
-    let file = file.map_err(Error::io(&path, "creating the segment"))?;
-    sync_dir(dir)?;
+    let file = (files.create)(&path).map_err(Error::io(&path, "creating the segment"))?;
+    sync_dir(files, dir)?;
     Ok(file)
 }
 
 /// Reads the batches of a segment. Truncates a torn frame at the end of the last segment.
-fn read_segment(path: &Path, is_last: bool) -> Result<Vec<Batch>, Error> {
-    let buf = fs::read(path).map_err(Error::io(path, "reading the segment"))?;
+fn read_segment(files: &Files, path: &Path, is_last: bool) -> Result<Vec<Batch>, Error> {
+    let buf = (files.read)(path).map_err(Error::io(path, "reading the segment"))?;
+    let buf = buf.unwrap_or_default();
     let mut batches = Vec::new();
     let mut offset = 0;
     loop {
@@ -227,7 +226,8 @@
             }
             Frame::End => return Ok(batches),
             Frame::Torn if is_last => {
-                truncate_segment(path, offset as u64)?;
+                let cut = (files.truncate)(path, offset as u64);
+                cut.map_err(Error::io(path, "truncating the torn frame"))?;
                 return Ok(batches);
             }
             Frame::Torn => {
@@ -241,13 +241,6 @@
     }
 }
 
-fn truncate_segment(path: &Path, length: u64) -> Result<(), Error> {
-    let file = OpenOptions::new().write(true).open(path);
-    let file = file.map_err(Error::io(path, "opening the torn segment"))?;
-    file.set_len(length).map_err(Error::io(path, "truncating the torn frame"))?;
-    file.sync_all().map_err(Error::io(path, "syncing"))
-}
-
 /// Adds the entries of a batch, after dropping existing entries from its first index on.
 fn append_batch(entries: &mut Vec<Entry>, new: Vec<Entry>) {
     let Some(first) = new.first() else { return };
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -18,10 +18,12 @@
 
 mod data_dir;
 mod error;
+mod files;
 mod frame;
 mod group;
 mod snapshot;
 
 pub use data_dir::{DataDir, Identity};
 pub use error::{Error, ErrorKind};
+pub use files::{Files, OpenFile};
 pub use group::{GroupStore, Opened, SyncFn};
