Storage: an open says what it found, and a gap where it is

After a restart no line said which segments, how many frames and which last entry a data directory held, or how much was cut off as torn. 'entry N is missing' named neither the segment nor what came before. Reading the log back moves to replay.rs; its logic is the same.

--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -1,16 +1,14 @@
 //! The store of one group: a snapshot file and a log in numbered segment files.
 
 use crate::data_dir::{create_dir, parent, sync_dir};
-use crate::frame::{self, Frame};
-use crate::{snapshot, Error, Files, OpenFile};
-use consensus::{Config, Entry, HardState, Index, Ready, Restored, Snapshot};
-use serde::{Deserialize, Serialize};
+use crate::replay::{append_batch, segment_path, Batch, ClosedSegment, Found, Replay};
+use crate::{frame, snapshot, Error, Files, OpenFile};
+use consensus::{Config, Entry, HardState, Index, Ready, Restored};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 const SNAPSHOT_FILE: &str = "snapshot";
-const SEGMENT_PREFIX: &str = "log-";
 
 /// An opened store and the state that it holds; `None` if the group was never formed here.
 pub type Opened = (GroupStore, Option<Restored>);
@@ -18,20 +16,6 @@
 /// A function that syncs a file to disk. Tests replace it by one that fails.
 pub type SyncFn = Box<dyn FnMut(&mut OpenFile) -> io::Result<()> + Send>;
 
-/// The contents of one log frame, which is written at once.
-#[derive(Default, Serialize, Deserialize)]
-struct Batch {
-    hard_state: Option<HardState>,
-    entries: Vec<Entry>,
-}
-
-/// A segment that is no longer written to.
-struct ClosedSegment {
-    number: u64,
-    /// Highest index of an entry in the segment, or 0 without entries.
-    last_index: Index,
-}
-
 /// The durable log and snapshot of one group.
 pub struct GroupStore {
     files: Arc<Files>,
@@ -45,6 +29,7 @@
     /// Earlier segments in ascending order.
     closed: Vec<ClosedSegment>,
     hard_state: HardState,
+    found: Found,
     /// What was appended since the last frame was written.
     pending: Batch,
     /// Whether something was appended that the next `sync` must wait for.
@@ -66,22 +51,8 @@
             sync_dir(&files, parent(path))?;
         }
         let snapshot = snapshot::read(&files, &path.join(SNAPSHOT_FILE))?;
-        let numbers = segment_numbers(&files, path)?;
-        let mut hard_state = HardState::default();
-        let mut entries = Vec::new();
-        let mut closed = Vec::new();
-        for (i, number) in numbers.iter().enumerate() {
-            let is_last = i + 1 == numbers.len();
-            let batches = read_segment(&files, &segment_path(path, *number), is_last)?;
-            let mut last_index = 0;
-            for batch in batches {
-                hard_state = batch.hard_state.unwrap_or(hard_state);
-                last_index = last_index.max(batch.entries.last().map_or(0, |e| e.index));
-                append_batch(&mut entries, batch.entries);
-            }
-            closed.push(ClosedSegment { number: *number, last_index });
-        }
-        let number = numbers.last().map_or(1, |n| n + 1);
+        let mut replay = Replay::read(&files, path)?;
+        let number = replay.segments.last().map_or(1, |s| s.number + 1);
         let file = create_segment(&files, path, number)?;
         let mut store = GroupStore {
             files,
@@ -89,22 +60,34 @@
             file,
             number,
             last_index: 0,
-            closed,
-            hard_state,
+            closed: std::mem::take(&mut replay.segments),
+            hard_state: replay.hard_state,
+            found: replay.found.clone(),
             pending: Batch::default(),
             unsynced: false,
             sync: Box::new(|file| (file.sync)()),
         };
         let Some(snapshot) = snapshot else { return Ok((store, None)) };
-        store.pending.hard_state = Some(hard_state);
+        store.pending.hard_state = Some(store.hard_state);
         store.require_sync();
         store.sync()?;
-        entries.retain(|e| e.index > snapshot.index);
-        drop_replaced(&mut entries, &snapshot);
-        check_contiguous(path, &snapshot, &entries)?;
+        replay.drop_covered(path, &snapshot)?;
+        let (hard_state, entries) = (store.hard_state, replay.entries);
         Ok((store, Some(Restored { hard_state, snapshot, entries })))
     }
 
+    /// What the open found of the log.
+    ///
+    /// ```
+    /// # let tmp = tempfile::tempdir().unwrap();
+    /// let dir = storage::DataDir::open(tmp.path(), "a-1", "zone-a", 42).unwrap();
+    /// let (store, _) = dir.open_group("cell").unwrap();
+    /// assert_eq!(store.found().segments, 0);
+    /// ```
+    pub fn found(&self) -> &Found {
+        &self.found
+    }
+
     /// Records that the group was formed with the members of `config`, as a snapshot at index 0.
     pub fn form_group(&mut self, config: &Config) -> Result<(), Error> {
         let formed = Restored::new_group(config.clone());
@@ -193,77 +176,9 @@
     }
 }
 
-fn segment_path(dir: &Path, number: u64) -> PathBuf {
-    dir.join(format!("{SEGMENT_PREFIX}{number:012}"))
-}
-
-fn segment_numbers(files: &Files, dir: &Path) -> Result<Vec<u64>, Error> {
-    let names = (files.list)(dir).map_err(Error::io(dir, "listing"))?;
-    let digits = names.iter().filter_map(|name| name.strip_prefix(SEGMENT_PREFIX));
-    let mut numbers: Vec<u64> = digits.filter_map(|d| d.parse().ok()).collect();
-    numbers.sort_unstable();
-    Ok(numbers)
-}
-
 fn create_segment(files: &Files, dir: &Path, number: u64) -> Result<OpenFile, Error> {
     let path = segment_path(dir, number);
     let file = (files.create)(&path).map_err(Error::io(&path, "creating the segment"))?;
     sync_dir(files, dir)?;
     Ok(file)
 }
-
-/// Reads the batches of a segment. Truncates a torn frame at the end of the last segment.
-fn read_segment(files: &Files, path: &Path, is_last: bool) -> Result<Vec<Batch>, Error> {
-    let buf = (files.read)(path).map_err(Error::io(path, "reading the segment"))?;
-    let buf = buf.unwrap_or_default();
-    let mut batches = Vec::new();
-    let mut offset = 0;
-    loop {
-        match frame::decode(&buf[offset..]) {
-            Frame::Complete(batch, length) => {
-                batches.push(batch);
-                offset += length;
-            }
-            Frame::End => return Ok(batches),
-            Frame::Torn if is_last => {
-                let cut = (files.truncate)(path, offset as u64);
-                cut.map_err(Error::io(path, "truncating the torn frame"))?;
-                return Ok(batches);
-            }
-            Frame::Torn => {
-                let cause = "a frame is torn, but later segments exist".to_string();
-                return Err(Error::Corrupt(path.to_path_buf(), offset as u64, cause));
-            }
-            Frame::Corrupt(cause) => {
-                return Err(Error::Corrupt(path.to_path_buf(), offset as u64, cause));
-            }
-        }
-    }
-}
-
-/// Adds the entries of a batch, after dropping existing entries from its first index on.
-fn append_batch(entries: &mut Vec<Entry>, new: Vec<Entry>) {
-    let Some(first) = new.first() else { return };
-    let keep = entries.partition_point(|e| e.index < first.index);
-    entries.truncate(keep);
-    entries.extend(new);
-}
-
-/// Drops entries that a snapshot from the leader has replaced: terms never decrease along a log. They
-/// are there if the process ended between the write of the snapshot and that of the new segment.
-fn drop_replaced(entries: &mut Vec<Entry>, snapshot: &Snapshot) {
-    if entries.first().is_some_and(|first| first.term < snapshot.term) {
-        entries.clear();
-    }
-}
-
-/// Checks that `entries` follow the snapshot without gaps.
-fn check_contiguous(path: &Path, snapshot: &Snapshot, entries: &[Entry]) -> Result<(), Error> {
-    let expected = snapshot.index + 1..;
-    match expected.zip(entries).find(|(index, entry)| *index != entry.index) {
-        Some((index, _)) => {
-            Err(Error::Corrupt(path.to_path_buf(), 0, format!("entry {index} is missing")))
-        }
-        None => Ok(()),
-    }
-}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -21,9 +21,11 @@
 mod files;
 mod frame;
 mod group;
+mod replay;
 mod snapshot;
 
 pub use data_dir::{DataDir, Identity};
 pub use error::{Error, ErrorKind};
 pub use files::{Files, OpenFile};
 pub use group::{GroupStore, Opened, SyncFn};
+pub use replay::Found;
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -142,6 +142,45 @@
     assert!(error.to_string().contains("damaged at byte 0: wrong checksum"), "{error}");
 }
 
+#[test]
+fn a_missing_entry_is_an_error_and_names_both_sides_of_the_gap() {
+    let tmp = tempfile::tempdir().unwrap();
+    {
+        let mut store = formed(&open(tmp.path()));
+        write(&mut store, &entries(1..=6, 1));
+        write(&mut store, &snapshot_at(4, false));
+        write(&mut store, &entries(7..=7, 1));
+        write(&mut store, &snapshot_at(5, false));
+        write(&mut store, &entries(8..=8, 1));
+    }
+    let middle = segments(tmp.path()).into_iter().nth(1).unwrap();
+    fs::remove_file(middle).unwrap();
+    let error = open(tmp.path()).open_group("g").unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::Corrupt);
+    let text = error.to_string();
+    let gap = "entry 7 is missing: entry 8 comes here, after entry 6 in log-000000000001 at byte 0";
+    assert!(text.contains(gap), "{text}");
+    assert!(text.contains("log-000000000003: damaged at byte"), "{text}");
+}
+
+/// Guards against a restart after which nobody can say what the data directory held.
+#[test]
+fn an_open_says_what_it_found() {
+    let tmp = tempfile::tempdir().unwrap();
+    {
+        let mut store = formed(&open(tmp.path()));
+        write(&mut store, &entries(1..=2, 1));
+        write(&mut store, &entries(3..=3, 1));
+    }
+    let path = filled_segment(tmp.path());
+    let bytes = fs::metadata(&path).unwrap().len();
+    fs::OpenOptions::new().append(true).open(&path).unwrap().set_len(bytes + 5).unwrap();
+    let (store, _) = open(tmp.path()).open_group("g").unwrap();
+    let found = store.found();
+    assert_eq!((found.segments, found.frames, found.last_index), (1, 2, 3));
+    assert_eq!((found.tail_bytes, found.torn_bytes), (bytes, 5));
+}
+
 #[test]
 fn a_damaged_snapshot_is_an_error() {
     let tmp = tempfile::tempdir().unwrap();
