--- a/crates/storage/tests/support/mod.rs
+++ b/crates/storage/tests/support/mod.rs
@@ -47,14 +47,19 @@
     Error::new(ErrorKind::NotFound, format!("{} does not exist", path.display()))
 }
 
+fn killed() -> Error {
+    Error::new(ErrorKind::Interrupted, "the process was killed")
+}
+
 fn parent(path: &Path) -> &Path {
     path.parent().expect("a simulated path has a parent directory")
 }
 
 impl SimDisk {
-    /// An empty disk with the root directory. `seed` decides what power losses keep.
+    /// A disk with the empty directory `/data`. `seed` decides what power losses keep.
     pub fn new(seed: u64) -> SimDisk {
-        let names = BTreeMap::from([(PathBuf::from("/"), Node::Directory)]);
+        let names = ["/", "/data"].map(|path| (PathBuf::from(path), Node::Directory));
+        let names = BTreeMap::from(names);
         SimDisk(Arc::new(Mutex::new(Disk {
             contents: Vec::new(),
             durable_names: names.clone(),
@@ -182,7 +187,7 @@
                 f(self)?;
             }
             self.process += 1;
-            self.check_runs(process)?;
+            return Err(killed());
         }
         f(self)
     }
@@ -191,7 +196,7 @@
         if process == self.process {
             Ok(())
         } else {
-            Err(Error::new(ErrorKind::Interrupted, "the process was killed"))
+            Err(killed())
         }
     }
 
