--- a/crates/storage/tests/support/mod.rs
+++ b/crates/storage/tests/support/mod.rs
@@ -41,7 +41,7 @@
 
 /// A disk in memory. Clones are the same disk.
 #[derive(Clone)]
-pub struct SimDisk(Arc<Mutex<Disk>>);
+pub(crate) struct SimDisk(Arc<Mutex<Disk>>);
 
 fn not_found(path: &Path) -> Error {
     Error::new(ErrorKind::NotFound, format!("{} does not exist", path.display()))
@@ -57,7 +57,7 @@
 
 impl SimDisk {
     /// A disk with the empty directory `/data`. `seed` decides what power losses keep.
-    pub fn new(seed: u64) -> SimDisk {
+    pub(crate) fn new(seed: u64) -> SimDisk {
         let names = ["/", "/data"].map(|path| (PathBuf::from(path), Node::Directory));
         let names = BTreeMap::from(names);
         SimDisk(Arc::new(Mutex::new(Disk {
@@ -76,7 +76,7 @@
     }
 
     /// The file operations of a new process. Those of earlier ones fail from now on.
-    pub fn start_process(&self) -> Files {
+    pub(crate) fn start_process(&self) -> Files {
         let process = {
             let mut disk = self.lock();
             disk.process += 1;
@@ -110,17 +110,17 @@
     }
 
     /// Kills the running process at its change number `changes` from now on, before or after it.
-    pub fn kill_after(&self, changes: u32) {
+    pub(crate) fn kill_after(&self, changes: u32) {
         self.lock().changes_left = Some(changes);
     }
 
     /// Lets one in `n` syncs fail, or none if `n` is 0.
-    pub fn fail_syncs(&self, n: u32) {
+    pub(crate) fn fail_syncs(&self, n: u32) {
         self.lock().failing_syncs = n;
     }
 
     /// Cuts the power. What was not synced is kept, lost or torn, each write and name by itself.
-    pub fn lose_power(&self) {
+    pub(crate) fn lose_power(&self) {
         let disk = &mut *self.lock();
         disk.process += 1;
         let all_lost = disk.rng.u8(..5) == 0;
