Storage: an open writes what it read back anew before anybody acts on it

Cause: GroupStore::open replayed the segments of the process before and synced none of them, so a frame that a kill had left between its write and its sync was voted on, answered for and counted for majorities while it was not on the disk. What followed went to a new segment, and a power loss took or tore the frame before it. The class: state that was read back counts as durable. A failed sync is of it too: the engine reads the frame back within a second, and a second sync may say yes without having written it.

Only then is anything returned. Earlier segments are removed; if a power loss brings any of them back, the new frame replaces their entries.

A refused directory is left as it is; each attempt added a segment before.

--- a/crates/storage/src/data_dir.rs
+++ b/crates/storage/src/data_dir.rs
@@ -1,7 +1,7 @@
 //! The data directory: its lock, its identity, the saved release and the groups.
 
 use crate::frame::{self, Frame};
-use crate::{Error, Files, GroupStore, Opened};
+use crate::{Error, Files, GroupStore, OpenFile, Opened};
 use serde::{Deserialize, Serialize};
 use std::fs::{File, TryLockError};
 use std::io::ErrorKind;
@@ -42,9 +42,10 @@
     /// Opens the data directory at `path`. Creates it, with an identity derived from `seed`, if it
     /// does not exist. Fails if another process has it open or it belongs to another host or zone.
     pub fn open(path: &Path, host: &str, zone: &str, seed: u64) -> Result<DataDir, Error> {
-        std::fs::create_dir_all(path).map_err(Error::io(path, "creating the data directory"))?;
+        let files = Files::of_system();
+        create_dir(&files, path)?;
         let lock = lock(&path.join(LOCK_FILE))?;
-        let dir = DataDir::open_unlocked(Files::of_system(), path, host, zone, seed)?;
+        let dir = DataDir::open_unlocked(files, path, host, zone, seed)?;
         Ok(DataDir { _lock: Some(lock), ..dir })
     }
 
@@ -99,7 +100,7 @@
 
     /// Saves a release. It is durable when this function returns.
     pub fn save_release(&self, release: &Release) -> Result<(), Error> {
-        replace_file(&self.files, &self.path.join(RELEASE_FILE), &frame::encode(release))
+        replace_file(&self.files, &self.path.join(RELEASE_FILE), &frame::encode(release)).map(drop)
     }
 
     /// Whether the directory has a store of the group `name`.
@@ -132,17 +133,18 @@
     }
 }
 
-/// Creates a directory and those that are missing above it. Returns whether it was missing.
-pub(crate) fn create_dir(files: &Files, path: &Path) -> Result<bool, Error> {
+/// Creates a directory and those that are missing above it.
+pub(crate) fn create_dir(files: &Files, path: &Path) -> Result<(), Error> {
     let mut created = (files.create_dir)(path);
     if created.as_ref().is_err_and(|e| e.kind() == ErrorKind::NotFound) {
         create_dir(files, parent(path))?;
         created = (files.create_dir)(path);
     }
     match created {
-        Ok(()) => Ok(true),
-        Err(e) if e.kind() == ErrorKind::AlreadyExists => Ok(false),
-        Err(e) => Err(Error::io(path, "creating the directory")(e)),
+        Err(e) if e.kind() != ErrorKind::AlreadyExists => {
+            Err(Error::io(path, "creating the directory")(e))
+        }
+        _ => Ok(()),
     }
 }
 
@@ -172,14 +174,16 @@
     Ok(identity)
 }
 
-/// Replaces a file atomically: after a crash it has either the old or the new contents.
-pub(crate) fn replace_file(files: &Files, path: &Path, contents: &[u8]) -> Result<(), Error> {
+/// Replaces a file atomically: after a crash it has either the old or the new contents. The new ones are
+/// durable when this function returns. Returns the file, to which more can be appended.
+pub(crate) fn replace_file(files: &Files, path: &Path, contents: &[u8]) -> Result<OpenFile, Error> {
     let tmp = path.with_extension("tmp");
     let mut file = (files.create)(&tmp).map_err(Error::io(&tmp, "creating the file"))?;
     (file.append)(contents).map_err(Error::io(&tmp, "writing"))?;
     (file.sync)().map_err(Error::io(&tmp, "syncing"))?;
     (files.rename)(&tmp, path).map_err(Error::io(path, "renaming"))?;
-    sync_dir(files, parent(path))
+    sync_dir(files, parent(path))?;
+    Ok(file)
 }
 
 /// Syncs a directory, which makes created, renamed and deleted entries durable.
--- a/crates/storage/src/files.rs
+++ b/crates/storage/src/files.rs
@@ -1,14 +1,13 @@
 //! The file operations that a data directory is made of.
 
 use std::fmt;
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::Path;
 use std::sync::Arc;
 
 type PathFn<T> = Box<dyn Fn(&Path) -> io::Result<T> + Send + Sync>;
 type RenameFn = Box<dyn Fn(&Path, &Path) -> io::Result<()> + Send + Sync>;
-type TruncateFn = Box<dyn Fn(&Path, u64) -> io::Result<()> + Send + Sync>;
 type AppendFn = Box<dyn FnMut(&[u8]) -> io::Result<()> + Send>;
 
 /// File operations. Tests replace those of the operating system by a simulated disk.
@@ -21,8 +20,6 @@
     pub read: PathFn<Option<Vec<u8>>>,
     /// Creates a file, or empties it if it exists.
     pub create: PathFn<OpenFile>,
-    /// Cuts a file off at a length, durably.
-    pub truncate: TruncateFn,
     /// Gives the first path's file the second path, whose file it replaces.
     pub rename: RenameFn,
     /// Removes a file.
@@ -58,7 +55,6 @@
             list: Box::new(list),
             read: Box::new(read),
             create: Box::new(|path| File::create(path).map(OpenFile::of_system)),
-            truncate: Box::new(truncate),
             rename: Box::new(|from, to| fs::rename(from, to)),
             remove: Box::new(|path| fs::remove_file(path)),
             sync_dir: Box::new(|path| File::open(path)?.sync_all()),
@@ -95,9 +91,3 @@
         Err(e) => Err(e),
     }
 }
-
-fn truncate(path: &Path, length: u64) -> io::Result<()> {
-    let file = OpenOptions::new().write(true).open(path)?;
-    file.set_len(length)?;
-    file.sync_all()
-}
--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -1,7 +1,7 @@
 //! The store of one group: a snapshot file and a log in numbered segment files.
 
-use crate::data_dir::{create_dir, parent, sync_dir};
-use crate::replay::{append_batch, segment_path, Batch, ClosedSegment, Found, Replay};
+use crate::data_dir::{create_dir, parent, replace_file, sync_dir};
+use crate::replay::{append_batch, segment_path, Batch, Found, Replay};
 use crate::{frame, snapshot, Error, Files, OpenFile};
 use consensus::{Config, Entry, HardState, Index, Ready, Restored};
 use std::io;
@@ -16,6 +16,13 @@
 /// A function that syncs a file to disk. Tests replace it by one that fails.
 pub type SyncFn = Box<dyn FnMut(&mut OpenFile) -> io::Result<()> + Send>;
 
+/// A segment that is no longer written to.
+struct ClosedSegment {
+    number: u64,
+    /// Highest index of an entry in the segment, or 0 without entries.
+    last_index: Index,
+}
+
 /// The durable log and snapshot of one group.
 pub struct GroupStore {
     files: Arc<Files>,
@@ -44,36 +51,40 @@
 }
 
 impl GroupStore {
-    /// Opens the store at `path`, or creates it. Replays the existing segments and starts a new
-    /// one, so that no frame is appended to a segment that an earlier process wrote.
+    /// Opens the store at `path`, or creates it. All that is returned is durable: a process that ended
+    /// may have left it unsynced, or a sync of it may have failed, which later ones don't make up for.
     pub(crate) fn open(files: Arc<Files>, path: &Path) -> Result<Opened, Error> {
-        if create_dir(&files, path)? {
-            sync_dir(&files, parent(path))?;
-        }
+        create_dir(&files, path)?;
+        sync_dir(&files, parent(path))?;
         let snapshot = snapshot::read(&files, &path.join(SNAPSHOT_FILE))?;
         let mut replay = Replay::read(&files, path)?;
-        let number = replay.segments.last().map_or(1, |s| s.number + 1);
-        let file = create_segment(&files, path, number)?;
-        let mut store = GroupStore {
+        if let Some(snapshot) = &snapshot {
+            replay.drop_covered(path, snapshot)?;
+        }
+        let (hard_state, number) = (replay.hard_state, replay.segments.last().map_or(1, |n| *n));
+        let last_index = replay.last_index();
+        let batch = Batch { hard_state: Some(hard_state), entries: replay.entries };
+        let buf = snapshot.as_ref().map_or(Vec::new(), |_| frame::encode(&batch));
+        let file = replace_file(&files, &segment_path(path, number), &buf)?;
+        // These may be back after a power loss, but the new segment replaces all their entries.
+        for old in replay.segments.iter().filter(|old| **old != number) {
+            remove_segment(&files, path, *old)?;
+        }
+        let store = GroupStore {
             files,
             path: path.to_path_buf(),
             file,
             number,
-            last_index: 0,
-            closed: std::mem::take(&mut replay.segments),
-            hard_state: replay.hard_state,
-            found: replay.found.clone(),
+            last_index,
+            closed: Vec::new(),
+            hard_state,
+            found: Found { rewritten_bytes: buf.len() as u64, ..replay.found },
             pending: Batch::default(),
             unsynced: false,
             sync: Box::new(|file| (file.sync)()),
         };
-        let Some(snapshot) = snapshot else { return Ok((store, None)) };
-        store.pending.hard_state = Some(store.hard_state);
-        store.require_sync();
-        store.sync()?;
-        replay.drop_covered(path, &snapshot)?;
-        let (hard_state, entries) = (store.hard_state, replay.entries);
-        Ok((store, Some(Restored { hard_state, snapshot, entries })))
+        let entries = batch.entries;
+        Ok((store, snapshot.map(|snapshot| Restored { hard_state, snapshot, entries })))
     }
 
     /// What the open found of the log.
@@ -161,9 +172,7 @@
         // Replay reads the segments in order, so only a prefix of them may be deleted.
         let keep_from = self.closed.iter().position(needed).unwrap_or(self.closed.len());
         for old in self.closed.drain(..keep_from) {
-            let path = segment_path(&self.path, old.number);
-            let deleted = (self.files.remove)(&path);
-            deleted.map_err(Error::io(&path, "deleting the old segment"))?;
+            remove_segment(&self.files, &self.path, old.number)?;
         }
         sync_dir(&self.files, &self.path)
     }
@@ -176,6 +185,11 @@
     }
 }
 
+fn remove_segment(files: &Files, dir: &Path, number: u64) -> Result<(), Error> {
+    let path = segment_path(dir, number);
+    (files.remove)(&path).map_err(Error::io(&path, "deleting the old segment"))
+}
+
 fn create_segment(files: &Files, dir: &Path, number: u64) -> Result<OpenFile, Error> {
     let path = segment_path(dir, number);
     let file = (files.create)(&path).map_err(Error::io(&path, "creating the segment"))?;
--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -15,14 +15,7 @@
     pub(crate) entries: Vec<Entry>,
 }
 
-/// A segment that is no longer written to.
-pub(crate) struct ClosedSegment {
-    pub(crate) number: u64,
-    /// Highest index of an entry in the segment, or 0 without entries.
-    pub(crate) last_index: Index,
-}
-
-/// What an open found of a group's log.
+/// What an open found of a group's log, and what it did with it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Found {
     /// Number of segments.
@@ -34,8 +27,10 @@
     /// Bytes of complete frames in the last segment. The process that wrote them may have ended before
     /// it synced them.
     pub tail_bytes: u64,
-    /// Bytes of an interrupted write at the end of the last segment, which were cut off.
+    /// Bytes of interrupted writes, which were left out.
     pub torn_bytes: u64,
+    /// Bytes that the open wrote anew and synced, in place of all segments.
+    pub rewritten_bytes: u64,
 }
 
 /// The log as its segments hold it.
@@ -43,10 +38,22 @@
 pub(crate) struct Replay {
     pub(crate) hard_state: HardState,
     pub(crate) entries: Vec<Entry>,
-    pub(crate) segments: Vec<ClosedSegment>,
+    /// Numbers of the segments, in ascending order.
+    pub(crate) segments: Vec<u64>,
     pub(crate) found: Found,
     /// The frames that have entries.
     places: Vec<Place>,
+    torn: Option<TornFrame>,
+}
+
+/// The last frame that can't be read.
+struct TornFrame {
+    path: PathBuf,
+    offset: u64,
+    /// Whether complete frames stand in later segments.
+    has_successor: bool,
+    /// First index of the next frame with entries.
+    resumed_at: Option<Index>,
 }
 
 /// The place of a frame, and its first entry.
@@ -59,78 +66,80 @@
 impl Replay {
     /// Reads all segments in `dir`.
     pub(crate) fn read(files: &Files, dir: &Path) -> Result<Replay, Error> {
-        let mut replay = Replay::default();
-        let numbers = segment_numbers(files, dir)?;
-        for (i, number) in numbers.iter().enumerate() {
-            let is_last = i + 1 == numbers.len();
-            replay.read_segment(files, dir, *number, is_last)?;
+        let mut replay = Replay { segments: segment_numbers(files, dir)?, ..Replay::default() };
+        for number in replay.segments.clone() {
+            replay.read_segment(files, dir, number)?;
         }
-        replay.found.segments = numbers.len();
-        replay.found.last_index = replay.entries.last().map_or(0, |e| e.index);
+        replay.found.segments = replay.segments.len();
+        replay.found.last_index = replay.last_index();
         Ok(replay)
     }
 
-    /// Reads the frames of a segment. Truncates a torn frame at the end of the last one.
-    fn read_segment(
-        &mut self,
-        files: &Files,
-        dir: &Path,
-        number: u64,
-        is_last: bool,
-    ) -> Result<(), Error> {
+    fn read_segment(&mut self, files: &Files, dir: &Path, number: u64) -> Result<(), Error> {
         let path = segment_path(dir, number);
         let buf = (files.read)(&path).map_err(Error::io(&path, "reading the segment"))?;
         let buf = buf.unwrap_or_default();
-        let mut last_index = 0;
         let mut offset = 0;
         loop {
             match frame::decode(&buf[offset..]) {
                 Frame::Complete(batch, length) => {
-                    last_index = last_index.max(self.add(batch, number, offset as u64));
+                    self.add(batch, number, offset as u64);
                     offset += length;
                 }
                 Frame::End => break,
-                Frame::Torn if is_last => {
-                    let cut = (files.truncate)(&path, offset as u64);
-                    cut.map_err(Error::io(&path, "truncating the torn frame"))?;
-                    self.found.torn_bytes = (buf.len() - offset) as u64;
-                    break;
-                }
                 Frame::Torn => {
-                    let cause = "a frame is torn, but later segments exist".to_string();
-                    return Err(Error::Corrupt(path, offset as u64, cause));
+                    self.found.torn_bytes += (buf.len() - offset) as u64;
+                    let offset = offset as u64;
+                    let torn = TornFrame { path, offset, has_successor: false, resumed_at: None };
+                    self.torn = Some(torn);
+                    break;
                 }
                 Frame::Corrupt(cause) => return Err(Error::Corrupt(path, offset as u64, cause)),
             }
         }
         self.found.tail_bytes = offset as u64;
-        self.segments.push(ClosedSegment { number, last_index });
         Ok(())
     }
 
-    /// Adds a frame. Returns the index of its last entry, or 0 without entries.
-    fn add(&mut self, batch: Batch, segment: u64, offset: u64) -> Index {
+    fn add(&mut self, batch: Batch, segment: u64, offset: u64) {
         self.found.frames += 1;
         self.hard_state = batch.hard_state.unwrap_or(self.hard_state);
-        if let Some(first) = batch.entries.first() {
-            let keep = self.places.partition_point(|place| place.first < first.index);
+        let first = batch.entries.first().map(|e| e.index);
+        if let Some(torn) = &mut self.torn {
+            torn.has_successor = true;
+            torn.resumed_at = torn.resumed_at.or(first);
+        }
+        if let Some(first) = first {
+            let keep = self.places.partition_point(|place| place.first < first);
             self.places.truncate(keep);
-            self.places.push(Place { first: first.index, segment, offset });
+            self.places.push(Place { first, segment, offset });
         }
-        let last_index = batch.entries.last().map_or(0, |e| e.index);
         append_batch(&mut self.entries, batch.entries);
-        last_index
     }
 
-    /// Keeps only the entries behind `snapshot`. Fails if they don't follow it without a gap.
+    /// Keeps only the entries behind `snapshot`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Corrupt`] if the log lacks something that may have been acknowledged.
     pub(crate) fn drop_covered(&mut self, dir: &Path, snapshot: &Snapshot) -> Result<(), Error> {
+        if let Some(torn) = self.torn.take().filter(|torn| !torn.is_harmless(snapshot)) {
+            let cause = "a frame is torn, but later segments exist".to_string();
+            return Err(Error::Corrupt(torn.path, torn.offset, cause));
+        }
         self.entries.retain(|e| e.index > snapshot.index);
         drop_replaced(&mut self.entries, snapshot);
         let expected = snapshot.index + 1..;
-        match expected.zip(&self.entries).find(|(index, entry)| *index != entry.index) {
-            Some((missing, entry)) => Err(self.gap(dir, snapshot, missing, entry.index)),
-            None => Ok(()),
+        let gap = expected.zip(&self.entries).find(|(index, entry)| *index != entry.index);
+        if let Some((missing, entry)) = gap {
+            return Err(self.gap(dir, snapshot, missing, entry.index));
         }
+        Ok(())
+    }
+
+    /// Index of the last entry, or 0 without entries.
+    pub(crate) fn last_index(&self) -> Index {
+        self.entries.last().map_or(0, |e| e.index)
     }
 
     fn gap(&self, dir: &Path, snapshot: &Snapshot, missing: Index, next: Index) -> Error {
@@ -153,6 +162,14 @@
     }
 }
 
+impl TornFrame {
+    /// Whether the frame held nothing that was acted on, or nothing that `snapshot` does not cover:
+    /// an open of the process after the write has synced a frame before it acts.
+    fn is_harmless(&self, snapshot: &Snapshot) -> bool {
+        !self.has_successor || self.resumed_at.is_some_and(|first| first <= snapshot.index + 1)
+    }
+}
+
 /// Path of the segment `number` in the group's directory.
 pub(crate) fn segment_path(dir: &Path, number: u64) -> PathBuf {
     dir.join(format!("{SEGMENT_PREFIX}{number:012}"))
--- a/crates/storage/tests/power_loss.rs
+++ b/crates/storage/tests/power_loss.rs
@@ -32,6 +32,13 @@
             snapshot: (snapshot.index, snapshot.term),
             entries: entries.iter().map(|e| (e.index, e.term)).collect(),
         }
+        .in_term_of_snapshot()
+    }
+
+    /// The state as a member takes it up: a snapshot of a later term has brought it there.
+    fn in_term_of_snapshot(self) -> State {
+        let term = self.term.max(self.snapshot.1);
+        State { vote: self.vote.filter(|_| term == self.term), term, ..self }
     }
 
     fn last(&self) -> (u64, u64) {
@@ -59,7 +66,7 @@
         if state.entries.first().is_some_and(|(_, term)| *term < snapshot.1) {
             state.entries.clear();
         }
-        state
+        state.in_term_of_snapshot()
     }
 }
 
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -179,6 +179,7 @@
     let found = store.found();
     assert_eq!((found.segments, found.frames, found.last_index), (1, 2, 3));
     assert_eq!((found.tail_bytes, found.torn_bytes), (bytes, 5));
+    assert_eq!(found.rewritten_bytes, fs::metadata(&path).unwrap().len());
 }
 
 #[test]
@@ -305,3 +306,72 @@
     assert_eq!(found.snapshot.index, 4);
     assert_eq!(indexes(&found), [], "entries of term 1 behind a snapshot of term 3");
 }
+
+/// Cuts off the last bytes of a file, as an interrupted write does.
+fn tear(path: &Path) {
+    let bytes = fs::read(path).unwrap();
+    fs::write(path, &bytes[..bytes.len() - 3]).unwrap();
+}
+
+/// A log in two segments: entries 1 to 6, a snapshot at 4, and then entry 7.
+fn log_in_two_segments(dir: &DataDir) -> GroupStore {
+    let mut store = formed(dir);
+    write(&mut store, &entries(1..=6, 1));
+    write(&mut store, &snapshot_at(4, false));
+    write(&mut store, &entries(7..=7, 1));
+    store
+}
+
+#[test]
+fn a_torn_frame_before_others_is_an_error() {
+    let tmp = tempfile::tempdir().unwrap();
+    drop(log_in_two_segments(&open(tmp.path())));
+    tear(&segments(tmp.path())[0]);
+    let error = open(tmp.path()).open_group("g").unwrap_err();
+    assert!(error.to_string().contains("a frame is torn, but later segments exist"), "{error}");
+}
+
+/// Guards against directories that grow with each attempt to open them.
+#[test]
+fn a_refused_directory_stays_as_it_is() {
+    let tmp = tempfile::tempdir().unwrap();
+    drop(log_in_two_segments(&open(tmp.path())));
+    fs::remove_file(&segments(tmp.path())[0]).unwrap();
+    let before = segments(tmp.path());
+    for _ in 0..3 {
+        assert!(open(tmp.path()).open_group("g").is_err(), "entries 5 and 6 are missing");
+    }
+    assert_eq!(segments(tmp.path()), before);
+}
+
+/// Opens a directory of an earlier version, whose process was killed in its open: it had begun a
+/// segment after the torn one and written nothing to it.
+#[test]
+fn a_torn_frame_that_nobody_has_acted_on_is_dropped() {
+    let tmp = tempfile::tempdir().unwrap();
+    {
+        let mut store = formed(&open(tmp.path()));
+        write(&mut store, &entries(1..=2, 1));
+        write(&mut store, &entries(3..=3, 1));
+    }
+    let torn = filled_segment(tmp.path());
+    tear(&torn);
+    fs::write(torn.with_file_name("log-000000000009"), "").unwrap();
+    assert_eq!(indexes(&reopen(&open(tmp.path()))), [(1, 1), (2, 1)]);
+    assert_eq!(indexes(&reopen(&open(tmp.path()))), [(1, 1), (2, 1)]);
+}
+
+#[test]
+fn a_torn_frame_that_a_snapshot_covers_is_dropped() {
+    let tmp = tempfile::tempdir().unwrap();
+    let mut store = log_in_two_segments(&open(tmp.path()));
+    let first = segments(tmp.path()).remove(0);
+    tear(&first);
+    let torn = fs::read(&first).unwrap();
+    write(&mut store, &snapshot_at(6, false));
+    drop(store);
+    assert!(!first.exists(), "the segment was needed: the test is meaningless");
+    fs::write(&first, torn).unwrap();
+    let found = reopen(&open(tmp.path()));
+    assert_eq!((found.snapshot.index, indexes(&found)), (6, vec![(7, 1)]));
+}
--- a/crates/storage/tests/support/mod.rs
+++ b/crates/storage/tests/support/mod.rs
@@ -85,7 +85,7 @@
         };
         let on = |disk: &SimDisk| disk.clone();
         let (d1, d2, d3, d4) = (on(self), on(self), on(self), on(self));
-        let (d5, d6, d7, d8) = (on(self), on(self), on(self), on(self));
+        let (d5, d6, d7) = (on(self), on(self), on(self));
         Files {
             create_dir: Box::new(move |path| d1.lock().create_dir(process, path)),
             list: Box::new(move |path| d2.lock().list(process, path)),
@@ -94,7 +94,6 @@
                 let id = d4.lock().create(process, path)?;
                 Ok(d4.open_file(process, id))
             }),
-            truncate: Box::new(move |path, length| d8.lock().truncate(process, path, length)),
             rename: Box::new(move |from, to| d5.lock().rename(process, from, to)),
             remove: Box::new(move |path| d6.lock().remove(process, path)),
             sync_dir: Box::new(move |path| d7.lock().sync_dir(process, path)),
@@ -284,20 +283,6 @@
         })
     }
 
-    fn truncate(&mut self, process: u64, path: &Path, length: u64) -> Result<()> {
-        self.change(process, |disk| {
-            let Some(Node::File(id)) = disk.names.get(path) else { return Err(not_found(path)) };
-            let content = &mut disk.contents[*id];
-            content.bytes.truncate(length as usize);
-            *content = Content {
-                bytes: content.bytes.clone(),
-                durable: content.bytes.clone(),
-                ..Content::default()
-            };
-            Ok(())
-        })
-    }
-
     fn rename(&mut self, process: u64, from: &Path, to: &Path) -> Result<()> {
         self.change(process, |disk| {
             let node = disk.names.remove(from).ok_or_else(|| not_found(from))?;
