Storage: names in the data directory are synced before they are acted on

The next process found the name, joined and voted under that identity; a power loss then took it, and the host came back as another member, or with an older release in force. path.exists() skipped the sync of the group's directory for good.

DataDir::open now syncs the data directory once all is there, also for names that it found. A directory that it creates is synced in the one above. Without an identity, directories above that a killed process may have created are synced as far as they can be opened; the identity is only written after that, so that its presence shows that they are durable.

--- a/crates/storage/src/data_dir.rs
+++ b/crates/storage/src/data_dir.rs
@@ -73,8 +73,13 @@
         create_dir(&files, path)?;
         let identity = match read_identity(&files, &path.join(IDENTITY_FILE))? {
             Some(identity) => identity,
-            None => create_identity(&files, path, host, zone, seed)?,
+            None => {
+                sync_dirs_above(&files, path);
+                create_identity(&files, path, host, zone, seed)?
+            }
         };
+        // A killed process may have left names unsynced: of the identity, the release and groups.
+        sync_dir(&files, path)?;
         if identity.host != host || identity.zone != zone {
             let has = format!("{} in {}", identity.host, identity.zone);
             return Err(Error::WrongOwner(path.to_path_buf(), has, format!("{host} in {zone}")));
@@ -133,7 +138,7 @@
     }
 }
 
-/// Creates a directory and those that are missing above it.
+/// Creates a directory and those that are missing above it, durably.
 pub(crate) fn create_dir(files: &Files, path: &Path) -> Result<(), Error> {
     let mut created = (files.create_dir)(path);
     if created.as_ref().is_err_and(|e| e.kind() == ErrorKind::NotFound) {
@@ -141,13 +146,18 @@
         created = (files.create_dir)(path);
     }
     match created {
-        Err(e) if e.kind() != ErrorKind::AlreadyExists => {
-            Err(Error::io(path, "creating the directory")(e))
-        }
-        _ => Ok(()),
+        Ok(()) => sync_dir(files, parent(path)),
+        Err(e) if e.kind() == ErrorKind::AlreadyExists => Ok(()),
+        Err(e) => Err(Error::io(path, "creating the directory")(e)),
     }
 }
 
+/// Syncs the directories above `path`, where a killed process may have created one. Stops at the first
+/// that can't be synced: it belongs to somebody else.
+fn sync_dirs_above(files: &Files, path: &Path) {
+    let _ = path.ancestors().try_for_each(|below| sync_dir(files, parent(below)));
+}
+
 fn read_identity(files: &Files, path: &Path) -> Result<Option<Identity>, Error> {
     let buf = (files.read)(path).map_err(Error::io(path, "reading the identity"))?;
     let Some(buf) = buf else { return Ok(None) };
