--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -58,8 +58,13 @@
         sync_dir(&files, parent(path))?;
         let snapshot = snapshot::read(&files, &path.join(SNAPSHOT_FILE))?;
         let mut replay = Replay::read(&files, path)?;
-        if let Some(snapshot) = &snapshot {
-            replay.drop_covered(path, snapshot)?;
+        match &snapshot {
+            Some(snapshot) => replay.drop_covered(path, snapshot)?,
+            None if replay.found.frames > 0 => {
+                let cause = "a log exists, but no snapshot".to_string();
+                return Err(Error::Corrupt(path.to_path_buf(), 0, cause));
+            }
+            None => {}
         }
         let (hard_state, number) = (replay.hard_state, replay.segments.last().map_or(1, |n| *n));
         let last_index = replay.last_index();
--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -134,6 +134,11 @@
         if let Some((missing, entry)) = gap {
             return Err(self.gap(dir, snapshot, missing, entry.index));
         }
+        let (last, commit) = (snapshot.index.max(self.last_index()), self.hard_state.commit);
+        if commit > last {
+            let cause = format!("the log ends with entry {last}, but {commit} was committed");
+            return Err(Error::Corrupt(dir.to_path_buf(), 0, cause));
+        }
         Ok(())
     }
 
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -375,3 +375,32 @@
     let found = reopen(&open(tmp.path()));
     assert_eq!((found.snapshot.index, indexes(&found)), (6, vec![(7, 1)]));
 }
+
+#[test]
+fn a_log_without_its_snapshot_is_an_error() {
+    let tmp = tempfile::tempdir().unwrap();
+    {
+        write(&mut formed(&open(tmp.path())), &entries(1..=2, 1));
+    }
+    fs::remove_file(tmp.path().join("g/snapshot")).unwrap();
+    let error = open(tmp.path()).open_group("g").unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::Corrupt);
+    assert!(error.to_string().contains("a log exists, but no snapshot"), "{error}");
+}
+
+/// Guards against a vote of a member that has lost entries which it acknowledged.
+#[test]
+fn a_log_that_ends_before_what_was_committed_is_an_error() {
+    let tmp = tempfile::tempdir().unwrap();
+    {
+        let mut store = formed(&open(tmp.path()));
+        write(&mut store, &entries(1..=3, 1));
+        let hard_state = Some(HardState { term: 1, vote: Some(1), commit: 3 });
+        write(&mut store, &Ready { hard_state, ..snapshot_at(1, false) });
+    }
+    fs::write(&segments(tmp.path())[0], "").unwrap();
+    let error = open(tmp.path()).open_group("g").unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::Corrupt);
+    let cause = "the log ends with entry 1, but 3 was committed";
+    assert!(error.to_string().contains(cause), "{error}");
+}
