Storage: a store whose sync failed says no from then on

sync took what was pending before it wrote, so a second call after a failed one had nothing to do and said yes, though the batch was lost. Both engines drop the store at the first error; by reading, nothing reached it.

Evidence: a_store_whose_sync_failed_syncs_nothing_more failed on the code before and passes.

--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -41,6 +41,8 @@
     pending: Batch,
     /// Whether something was appended that the next `sync` must wait for.
     unsynced: bool,
+    /// Whether a write or sync has failed, after which nothing more is written.
+    failed: bool,
     sync: SyncFn,
 }
 
@@ -86,6 +88,7 @@
             found: Found { rewritten_bytes: buf.len() as u64, ..replay.found },
             pending: Batch::default(),
             unsynced: false,
+            failed: false,
             sync: Box::new(|file| (file.sync)()),
         };
         let entries = batch.entries;
@@ -147,15 +150,25 @@
     }
 
     /// Makes all appended data durable. Returns whether it had to wait for the disk.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Io`] if writing or syncing fails, and from then on in every call.
     pub fn sync(&mut self) -> Result<bool, Error> {
-        if !std::mem::take(&mut self.unsynced) {
+        if self.failed {
+            let cause = io::Error::other("an earlier write or sync failed");
+            return Err(Error::io(&self.path, "syncing the log")(cause));
+        }
+        if !self.unsynced {
             return Ok(false);
         }
+        self.failed = true;
         let pending = std::mem::take(&mut self.pending);
         if pending.hard_state.is_some() {
             self.write_batch(&pending)?;
         }
         (self.sync)(&mut self.file).map_err(Error::io(&self.path, "syncing the log"))?;
+        (self.failed, self.unsynced) = (false, false);
         Ok(true)
     }
 
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -404,3 +404,16 @@
     let cause = "the log ends with entry 1, but 3 was committed";
     assert!(error.to_string().contains(cause), "{error}");
 }
+
+#[test]
+fn a_store_whose_sync_failed_syncs_nothing_more() {
+    let tmp = tempfile::tempdir().unwrap();
+    let mut store = formed(&open(tmp.path()));
+    store.append(&entries(1..=1, 1)).unwrap();
+    store.set_sync_fn(Box::new(|_| Err(io::Error::from(io::ErrorKind::StorageFull))));
+    assert!(store.sync().is_err());
+    store.set_sync_fn(Box::new(|_| Ok(())));
+    assert_eq!(store.sync().unwrap_err().kind(), ErrorKind::Io);
+    store.append(&entries(2..=2, 1)).unwrap();
+    assert!(store.sync().is_err(), "the entry before was lost");
+}
