--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -122,6 +122,10 @@
     ) -> Raft {
         let Restored { hard_state: mut hard, snapshot, entries } = restored;
         hard.commit = hard.commit.max(snapshot.index);
+        // A snapshot may be on disk without the hard state that came with it.
+        if hard.term < snapshot.term {
+            (hard.term, hard.vote) = (snapshot.term, None);
+        }
         let applied = snapshot.index;
         let log = Log::new(snapshot, entries);
         hard.commit = hard.commit.min(log.last_index());
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -53,6 +53,20 @@
     });
 }
 
+/// Guards against entries of a deposed leader behind a snapshot whose hard state was lost in a crash.
+#[test]
+fn a_member_with_a_snapshot_of_a_later_term_refuses_earlier_leaders() {
+    let members = (0..3).map(|id| Member { id, host: format!("h{id}"), role: Role::Voter });
+    let mut restored = Restored::new_group(Config::new(members.collect()));
+    restored.hard_state = HardState { term: 2, vote: Some(PEER), commit: 0 };
+    (restored.snapshot.index, restored.snapshot.term) = (5, 3);
+    let mut raft = Raft::new(ME, Tuning::default(), restored, Duration::ZERO, 1);
+    let entries = (4..=7).map(|index| entry(index, 2)).collect();
+    let message = Message::Append { prev_index: 3, prev_term: 2, entries, commit: 3, round: 1 };
+    receive(&mut raft, 1, 2, message);
+    assert_eq!((raft.term(), raft.last_index()), (3, 5));
+}
+
 #[test]
 fn leader_counts_only_entries_of_its_own_term() {
     check_rule(InjectedBug::CommitEarlierTerm, |injected_bug| {
