Native cell: a release is saved once the log that has it is synced

The engine passed the log's entries to the store, which only buffers them, and then wrote and synced the release, before the log. In a cell group of one voter the entry commits in the same step, so a crash between the two left a release in force that the group had lost: another one with the same version could be accepted, and the host would have gone on obeying the first.

The engine now syncs the log before it saves a release. By reading; no test fails on the code before, since the processes of the tests can't be stopped between the two writes. a_release_is_saved_after_the_entry_... holds the order of the outputs, on which this rests; it passed before as well.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -113,12 +113,15 @@
         }
     }
 
-    /// Carries out the outputs of one batch. Durable outputs come first and are synced once, before
-    /// any other output is sent.
+    /// Carries out the outputs of one batch. Durable outputs come first and are synced before any other
+    /// output is sent.
     fn carry_out(&mut self, outputs: Vec<Output>) -> Result<(), Error> {
         let mut synced = false;
         for output in outputs {
             if output.is_durable() {
+                if matches!(output, Output::SaveRelease(_)) {
+                    self.disk.sync()?;
+                }
                 self.disk.write(output)?;
                 continue;
             }
--- a/crates/host/src/io.rs
+++ b/crates/host/src/io.rs
@@ -62,7 +62,9 @@
     /// Create a group's store with this first configuration, which is empty when the host joins an
     /// existing group. Sync it before any other output of this step.
     FormGroup(GroupId, consensus::Config),
-    /// Store this release and sync it before any other output of this step.
+    /// Store this release once the outputs before it are synced, and sync it before any later output
+    /// of this step. The log must have the release by then: a host that keeps a release which its
+    /// group has lost would serve what nobody has accepted.
     SaveRelease(Box<Release>),
     /// Send a message to another entry host. It may get lost.
     Send(HostId, PeerMessage),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,7 +12,7 @@
 //! A driver must follow two rules:
 //!
 //! - Carry out and sync every output for which [`Output::is_durable`] returns true before any
-//!   other output of the same step.
+//!   other output of the same step, and those before an [`Output::SaveRelease`] before that.
 //! - On restart, drop the value and build a new one from what was synced.
 //!
 //! ```
--- a/crates/host/tests/batching.rs
+++ b/crates/host/tests/batching.rs
@@ -1,12 +1,12 @@
-//! Commands that arrive together share one write, so that one disk sync covers all of them. Guards
-//! against a write, and so a sync, per command.
+//! The order and number of writes. Commands that arrive together share one write, so that one disk
+//! sync covers all of them.
 
 use consensus::Role;
 use host::{
     Call, GroupCall, GroupId, Host, HostConfigBuilder, InitialMember, Input, Output, StartState,
 };
 use std::time::Duration;
-use types::{JobClass, JobSpec, Resources};
+use types::{JobClass, JobSpec, ReleaseNote, Resources};
 
 fn spec(i: u64) -> JobSpec {
     JobSpec {
@@ -52,3 +52,22 @@
     let first_out = outputs.iter().position(|output| !output.is_durable()).unwrap();
     assert!(outputs[first_out..].iter().all(|output| !output.is_durable()));
 }
+
+/// Guards against a release that a power loss leaves in force at a host whose log has lost it.
+#[test]
+fn a_release_is_saved_after_the_entry_that_it_comes_from() {
+    let members = vec![InitialMember { host: "a-1".into(), role: Role::Voter }];
+    let cfg = HostConfigBuilder::new("a-1", "a").group(GroupId::Cell, members).build();
+    let mut host = Host::new(cfg, StartState { member: 1, process: 1, ..StartState::default() });
+    for second in 1..5 {
+        host.step(Duration::from_secs(second), Input::Tick);
+    }
+    let note = ReleaseNote::default();
+    let call = GroupCall::ApplyRelease { request: "r".into(), note, digest: "d".into() };
+    let outputs = host.step(Duration::from_secs(5), Input::Call(1, Call::Group(call)));
+    let saved = outputs.iter().position(|o| matches!(o, Output::SaveRelease(_))).unwrap();
+    let is_write =
+        |output: &Output| matches!(output, Output::Persist(_, r) if !r.entries.is_empty());
+    let written = outputs.iter().rposition(is_write).unwrap();
+    assert!(written < saved, "entry at {written}, release at {saved}");
+}
