Orders and calls for advice: a node does not reuse the numbers of the one before

An answer to the earlier node (a hold waits for long) was then taken for the answer to the next node's order of the same number, and the leader got another worker's answer.

Both now start at the random base that calls already had.

--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -92,6 +92,9 @@
     pub fn new(cfg: NodeConfig, start: StartState) -> Node {
         let mut rng = fastrand::Rng::with_seed(start.seed);
         let peers = PeerTable::new(&cfg.seeds);
+        // A random base keeps numbers of an earlier process, and of an earlier node in this one, from
+        // being used again.
+        let base = rng.u64(..) >> 16;
         let mut node = Node {
             member: start.member,
             process: start.process,
@@ -106,12 +109,11 @@
             capacity_reports: CapacityReports::default(),
             calls: SortedMap::default(),
             call_by_exchange: SortedMap::default(),
-            // A random base keeps numbers of an earlier process from being used again.
-            last_call: rng.u64(..) >> 16,
+            last_call: base,
             forwarded_advice: SortedMap::default(),
-            last_advice: 0,
+            last_advice: base,
             forwarded_orders: SortedMap::default(),
-            last_forwarded_order: 0,
+            last_forwarded_order: base,
             configuration: Arc::default(),
             config_changes: ChangeLog::default(),
             incoming_configuration: IncomingConfiguration::default(),
