A member rejects the entries of a deposed leader at once, not one by one

What callers saw of it, if anything, is not known.

The member now names the last entry before the whole term that does not match. That is only a hint where to probe: nothing is accepted by it.

Evidence: entries_of_a_deposed_leader_are_rejected_at_once failed on the code before (119 for 20) and passes.

--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -69,11 +69,18 @@
         match self.log.term_at(prev_index) {
             Some(term) if term == prev_term => None,
             Some(_) if self.tuning.injected_bug == InjectedBug::SkipPreviousEntryCheck => None,
-            Some(_) => Some((prev_index - 1).max(self.hard.commit)),
+            // None of the entries of that term match: the leader's log has another one in its place.
+            Some(term) => Some(self.before_term(prev_index, term)),
             None => Some(self.log.last_index()),
         }
     }
 
+    /// Index of the last entry before `index` that is of an earlier term or committed.
+    fn before_term(&self, index: Index, term: Term) -> Index {
+        let earlier = |i: &Index| *i <= self.hard.commit || self.log.term_at(*i) != Some(term);
+        (0..index).rev().find(earlier).unwrap_or_default()
+    }
+
     fn on_install(&mut self, part: SnapshotPart, round: u64) -> Message {
         let SnapshotPart { index, term, config, offset, total, data } = part;
         if index <= self.hard.commit {
--- a/crates/consensus/tests/catching_up.rs
+++ b/crates/consensus/tests/catching_up.rs
@@ -1,6 +1,8 @@
 //! How much a leader sends to a member that lags behind.
 
-use consensus::{Config, Envelope, HardState, Member, Message, Raft, Restored, Role, Tuning};
+use consensus::{
+    Config, Entry, Envelope, HardState, Member, Message, Payload, Raft, Restored, Role, Tuning,
+};
 use std::time::Duration;
 
 const ME: u64 = 0;
@@ -59,3 +61,23 @@
     assert!(sent >= ENTRIES, "only {sent} of {ENTRIES} entries were sent again");
     assert!(sent <= 2 * ENTRIES, "{sent} entries were sent for {ENTRIES} that the member lacks");
 }
+
+/// Guards against a member that catches up by one entry a round trip, and never on a link that reorders.
+#[test]
+fn entries_of_a_deposed_leader_are_rejected_at_once() {
+    let members = (0..3).map(|id| Member { id, host: format!("h{id}"), role: Role::Voter });
+    let mut restored = Restored::new_group(Config::new(members.collect()));
+    restored.hard_state = HardState { term: 2, vote: None, commit: 0 };
+    let entry = |index: u64| Entry {
+        index,
+        term: if index <= 20 { 1 } else { 2 },
+        payload: Payload::Command(vec![]),
+    };
+    restored.entries = (1..=120).map(entry).collect();
+    let mut raft = Raft::new(ME, Tuning::default(), restored, Duration::ZERO, 1);
+    let entries = Vec::new();
+    let message = Message::Append { prev_index: 120, prev_term: 3, entries, commit: 0, round: 1 };
+    raft.step(Duration::from_millis(1), Envelope { from: PEER, to: ME, term: 3, message });
+    let replies: Vec<Message> = raft.take_ready().messages.into_iter().map(|e| e.message).collect();
+    assert_eq!(replies, [Message::AppendReply { accepted: false, index: 20, round: 1 }]);
+}
