Storage: one sync less in an open

The group's directory is synced when it is created, and DataDir::open syncs the data directory before any group is opened, also after a kill in between.

--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -1,6 +1,6 @@
 //! The store of one group: a snapshot file and a log in numbered segment files.
 
-use crate::data_dir::{create_dir, parent, replace_file, sync_dir};
+use crate::data_dir::{create_dir, replace_file, sync_dir};
 use crate::replay::{append_batch, segment_path, Batch, Found, Replay};
 use crate::{frame, snapshot, Error, Files, OpenFile};
 use consensus::{Config, Entry, HardState, Index, Ready, Restored};
@@ -57,7 +57,6 @@
     /// may have left it unsynced, or a sync of it may have failed, which later ones don't make up for.
     pub(crate) fn open(files: Arc<Files>, path: &Path) -> Result<Opened, Error> {
         create_dir(&files, path)?;
-        sync_dir(&files, parent(path))?;
         let snapshot = snapshot::read(&files, &path.join(SNAPSHOT_FILE))?;
         let mut replay = Replay::read(&files, path)?;
         match &snapshot {
