--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -57,6 +57,8 @@
     /// may have left it unsynced, or a sync of it may have failed, which later ones don't make up for.
     pub(crate) fn open(files: Arc<Files>, path: &Path) -> Result<Opened, Error> {
         create_dir(&files, path)?;
+        // The entries that a snapshot covers are only dropped once its name is durable.
+        sync_dir(&files, path)?;
         let snapshot = snapshot::read(&files, &path.join(SNAPSHOT_FILE))?;
         let mut replay = Replay::read(&files, path)?;
         match &snapshot {
--- a/crates/storage/tests/power_loss.rs
+++ b/crates/storage/tests/power_loss.rs
@@ -329,6 +329,26 @@
     }
 }
 
+#[test]
+fn a_snapshot_read_back_after_two_kills_outlives_a_power_loss() {
+    let kills = (0..6).flat_map(|first| (0..8).map(move |second| (first, second)));
+    for (seed, (first, second)) in (0..20).flat_map(|seed| kills.clone().map(move |k| (seed, k))) {
+        let disk = SimDisk::new(seed);
+        let mut store = with_entries(&disk);
+        let state = State { term: 1, vote: Some(1), ..State::default() };
+        disk.kill_after(first);
+        let _ = store.append(&with_snapshot(appended(&[], &state, 2), (2, 1), false));
+        let files = disk.start_process();
+        disk.kill_after(second);
+        let _ = open_with(files, seed);
+        disk.lose_power();
+        let opened = open(&disk, seed);
+        let (_, _, found) = opened.unwrap_or_else(|e| panic!("{seed}, {first}, {second}: {e}"));
+        let last = State::of(&found.unwrap()).last();
+        assert_eq!(last, (3, 1), "seed {seed}, killed after {first} and {second} changes");
+    }
+}
+
 #[test]
 fn an_identity_read_back_after_a_kill_outlives_a_power_loss() {
     for (seed, changes) in (0..40).flat_map(|seed| (0..8).map(move |changes| (seed, changes))) {
