Storage: damage to a log that was only opened is damage

An open writes the log as one frame. With nothing behind it, a flipped byte in it passed for an interrupted write, and the whole log would have been cut off without a word; before the fix that could happen to the last frame only. The frame has a second one behind it now, by which damage is told from a tear.

Evidence: damage_to_a_log_that_was_only_opened_is_an_error (each bit of the first half of the file) failed on the code before, where the log opened empty, and passes. a_tail_of_zeros_is_torn_not_damaged compared the length of the file after the open with the one before, which the second frame changes; it now checks that the first open cut off all 4,096 bytes, the next one none, and that both found both entries.

--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -72,7 +72,13 @@
         let (hard_state, number) = (replay.hard_state, replay.segments.last().map_or(1, |n| *n));
         let last_index = replay.last_index();
         let batch = Batch { hard_state: Some(hard_state), entries: replay.entries };
-        let buf = snapshot.as_ref().map_or(Vec::new(), |_| frame::encode(&batch));
+        let mut buf = Vec::new();
+        if snapshot.is_some() {
+            buf = frame::encode(&batch);
+            // With a frame behind it, damage to the log does not pass for an interrupted write.
+            let end = Batch { hard_state: Some(hard_state), entries: Vec::new() };
+            buf.extend(frame::encode(&end));
+        }
         let file = replace_file(&files, &segment_path(path, number), &buf)?;
         // These may be back after a power loss, but the new segment replaces all their entries.
         for old in replay.segments.iter().filter(|old| **old != number) {
