A data directory that stays shut is one line a minute and a metric

The engine logs a new cause at once and the same one once a minute, with attempts and shut_ms; it still tries each second. The decision is in node::DirectoryLog, which has no clock. It also bounds the lines of a disk that opens and fails at the next write. For that, causes are remembered beyond an open: after one, attempts and shut_ms start anew, and a cause that was logged within the last minute is not logged again. Two causes that alternate are bounded in the same way.

Metrics of the node: now{data_directory_shut} and since_start{data_directory_failures}, set when they change. The lines 'restored the group from disk' and, of native hosts, 'group restored' have first, last, segments, frames, tail_bytes, torn_bytes and took_ms; a warning says when an interrupted write was cut off. A log without a formed group has a line of its own.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -11,7 +11,7 @@
 use std::path::Path;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use storage::{DataDir, GroupStore};
 use tokio_util::sync::CancellationToken;
 use types::{Release, SortedMap, Timestamp, Version};
@@ -178,10 +178,11 @@
         start.member = data_dir.identity().member;
         start.release = data_dir.read_release()?.unwrap_or_else(Release::default);
         for id in own_groups(settings, &data_dir) {
+            let began = Instant::now();
             let (store, stored) = data_dir.open_group(&id.to_string())?;
+            log_found(&id, &store, stored.as_ref(), began.elapsed());
             self.stores.insert(id.clone(), store);
             if let Some(restored) = stored {
-                log_restored(&id, &restored);
                 start.groups.insert(id, restored);
             }
         }
@@ -234,12 +235,38 @@
     }
 }
 
-fn log_restored(id: &GroupId, restored: &Restored) {
-    log::info!(
-        group = id.to_string().as_str(),
-        term = restored.hard_state.term,
-        snapshot = restored.snapshot.index,
-        entries = restored.entries.len();
-        "group restored"
-    );
+/// Logs the state of a group and what the open of its store, which took `took`, found of its log.
+fn log_found(id: &GroupId, store: &GroupStore, stored: Option<&Restored>, took: Duration) {
+    let (id, found, took_ms) = (id.to_string(), store.found(), took.as_millis() as u64);
+    if let Some(restored) = stored {
+        log::info!(
+            group = id.as_str(),
+            term = restored.hard_state.term,
+            snapshot = restored.snapshot.index,
+            entries = restored.entries.len(),
+            first = restored.entries.first().map_or(0, |e| e.index),
+            last = found.last_index,
+            segments = found.segments,
+            frames = found.frames,
+            tail_bytes = found.tail_bytes,
+            torn_bytes = found.torn_bytes,
+            took_ms = took_ms;
+            "group restored"
+        );
+    } else if found.segments > 0 {
+        log::info!(
+            group = id.as_str(),
+            last = found.last_index,
+            segments = found.segments,
+            frames = found.frames,
+            tail_bytes = found.tail_bytes,
+            torn_bytes = found.torn_bytes,
+            took_ms = took_ms;
+            "found a log on disk, but the group was not formed"
+        );
+    }
+    if found.torn_bytes > 0 {
+        log::warn!(group = id.as_str(), torn_bytes = found.torn_bytes, last = found.last_index;
+            "cut off an interrupted write at the end of the log");
+    }
 }
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -2,6 +2,7 @@
 
 use consensus::{Config, Ready, Restored};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 use storage::{DataDir, Error, GroupStore};
 use types::{HostId, MemberId, ZoneName};
 
@@ -23,22 +24,48 @@
     store: GroupStore,
 }
 
+/// What the data directory held when it was opened.
+pub(crate) struct Opened {
+    pub(crate) disk: Disk,
+    /// The member that the directory belongs to.
+    pub(crate) member: MemberId,
+    /// State of the group; `None` if the directory holds none.
+    pub(crate) group: Option<Restored>,
+    took: Duration,
+}
+
+impl Opened {
+    /// Logs the state of the group and what the open found of its log.
+    pub(crate) fn log_found(&self) {
+        let found = self.disk.store.found();
+        let took_ms = self.took.as_millis() as u64;
+        if let Some(group) = &self.group {
+            log::info!(term = group.hard_state.term, snapshot = group.snapshot.index,
+                entries = group.entries.len(), first = group.entries.first().map_or(0, |e| e.index),
+                last = found.last_index, segments = found.segments, frames = found.frames,
+                tail_bytes = found.tail_bytes, torn_bytes = found.torn_bytes, took_ms = took_ms;
+                "restored the group from disk");
+        } else if found.segments > 0 {
+            log::info!(last = found.last_index, segments = found.segments, frames = found.frames,
+                tail_bytes = found.tail_bytes, torn_bytes = found.torn_bytes, took_ms = took_ms;
+                "found a log on disk, but no group was formed");
+        }
+        if found.torn_bytes > 0 {
+            log::warn!(torn_bytes = found.torn_bytes, last = found.last_index;
+                "cut off an interrupted write at the end of the log");
+        }
+    }
+}
+
 impl Disk {
-    /// Opens the data directory. Returns also the directory's member id and the restored state of
-    /// the group, which is `None` if the directory holds none.
-    pub(crate) fn open(
-        location: &DataLocation,
-        seed: u64,
-    ) -> Result<(Disk, MemberId, Option<Restored>), Error> {
+    /// Opens the data directory.
+    pub(crate) fn open(location: &DataLocation, seed: u64) -> Result<Opened, Error> {
+        let began = Instant::now();
         let path: &Path = &location.path;
         let dir = DataDir::open(path, &location.host, &location.zone, seed)?;
         let member = dir.identity().member;
-        let (store, restored) = dir.open_group(GROUP)?;
-        if let Some(restored) = &restored {
-            log::info!(term = restored.hard_state.term, snapshot = restored.snapshot.index,
-                entries = restored.entries.len(); "restored the group from disk");
-        }
-        Ok((Disk { _dir: dir, store }, member, restored))
+        let (store, group) = dir.open_group(GROUP)?;
+        Ok(Opened { disk: Disk { _dir: dir, store }, member, group, took: began.elapsed() })
     }
 
     pub(crate) fn append(&mut self, ready: &Ready) -> Result<(), Error> {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -1,6 +1,7 @@
 //! The engine: the thread that owns the node and its data directory.
 
 use crate::clock::Clock;
+use crate::directory_log::DirectoryLog;
 use crate::disk::{DataLocation, Disk};
 use crate::handle::EngineHandle;
 use crate::links::{self, Links};
@@ -105,6 +106,7 @@
         disk: None,
         location,
         reopen_at: clock.now(),
+        directory_log: DirectoryLog::default(),
         rng,
         clock,
         inputs: rx,
@@ -113,6 +115,7 @@
         handlers: handlers(&handle),
         next_stats: clock.now(),
     };
+    engine.publish_disk();
     engine.open_disk_if_due();
     let token = stop.clone();
     let thread = thread::spawn(move || engine.run(&token));
@@ -131,6 +134,7 @@
     /// `None` on a host without a disk.
     location: Option<DataLocation>,
     reopen_at: Timestamp,
+    directory_log: DirectoryLog,
     rng: fastrand::Rng,
     clock: Clock,
     inputs: Receiver<Input>,
@@ -230,12 +234,16 @@
     /// Drops the disk and continues with a new node that is no member of the group, because the
     /// old node's state in memory may be ahead of the disk.
     fn handle_disk_failure(&mut self, cause: &storage::Error) {
-        log::error!(cause:display = cause;
-            "disk failed; leaving the group until the data directory opens again");
+        let now = self.clock.now();
+        if self.directory_log.disk_failed(now, &cause.to_string()) {
+            log::error!(cause:display = cause, failures = self.directory_log.failures();
+                "disk failed; leaving the group until the data directory opens again");
+        }
         self.disk = None;
-        self.reopen_at = self.clock.now() + REOPEN_DELAY;
+        self.publish_disk();
+        self.reopen_at = now + REOPEN_DELAY;
         let cfg = self.builder.clone().disk(false).build();
-        self.node = Node::new(cfg, new_start_state(&mut self.rng, self.clock.now()));
+        self.node = Node::new(cfg, new_start_state(&mut self.rng, now));
     }
 
     /// Opens the data directory if there is one, it is not open and the delay after the last
@@ -248,15 +256,38 @@
         }
         self.reopen_at = now + REOPEN_DELAY;
         match Disk::open(location, self.rng.u64(..)) {
-            Ok((disk, member, group)) => {
+            Ok(opened) => {
+                if let Some(outage) = self.directory_log.opened(self.clock.now()) {
+                    opened.log_found();
+                    log::info!(member = opened.member, attempts = outage.attempts,
+                        shut_ms = outage.lasted.as_millis() as u64; "opened the data directory");
+                }
                 let start = new_start_state(&mut self.rng, now);
                 let cfg = self.builder.clone().disk(true).build();
-                self.node = Node::new(cfg, StartState { member, group, ..start });
-                self.disk = Some(disk);
-                log::info!(member = member; "opened the data directory");
+                let start = StartState { member: opened.member, group: opened.group, ..start };
+                self.node = Node::new(cfg, start);
+                self.disk = Some(opened.disk);
+            }
+            Err(e) => {
+                if let Some(outage) =
+                    self.directory_log.open_failed(self.clock.now(), &e.to_string())
+                {
+                    log::error!(cause:display = e, attempts = outage.attempts,
+                        shut_ms = outage.lasted.as_millis() as u64;
+                        "cannot open the data directory");
+                }
             }
-            Err(e) => log::error!(cause:display = e; "cannot open the data directory"),
         }
+        self.publish_disk();
+    }
+
+    /// Sets the metrics of the data directory. Called when they change, since a host whose directory
+    /// is shut may have nothing else to publish.
+    fn publish_disk(&self) {
+        let is_shut = self.location.is_some() && self.disk.is_none();
+        let metrics = self.handle.metrics();
+        metrics.set_now("data_directory_shut", is_shut.into());
+        metrics.set_since_start("data_directory_failures", self.directory_log.failures());
     }
 
     /// Publishes the status after each batch, and the metrics once per [`STATS_INTERVAL`].
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! directory again.
 
 mod clock;
+mod directory_log;
 mod disk;
 mod engine;
 mod error;
@@ -16,6 +17,7 @@
 mod signals;
 
 pub use clock::Clock;
+pub use directory_log::{DirectoryLog, Outage};
 pub use engine::{start, EngineConfig, OutputHandlers, RunningEngine};
 pub use error::Error;
 pub use handle::{EngineHandle, EngineStatus};
