--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -253,6 +253,7 @@
             frames = found.frames,
             tail_bytes = found.tail_bytes,
             torn_bytes = found.torn_bytes,
+            rewritten_bytes = found.rewritten_bytes,
             took_ms = took_ms;
             "group restored"
         );
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -43,7 +43,8 @@
             log::info!(term = group.hard_state.term, snapshot = group.snapshot.index,
                 entries = group.entries.len(), first = group.entries.first().map_or(0, |e| e.index),
                 last = found.last_index, segments = found.segments, frames = found.frames,
-                tail_bytes = found.tail_bytes, torn_bytes = found.torn_bytes, took_ms = took_ms;
+                tail_bytes = found.tail_bytes, torn_bytes = found.torn_bytes,
+                rewritten_bytes = found.rewritten_bytes, took_ms = took_ms;
                 "restored the group from disk");
         } else if found.segments > 0 {
             log::info!(last = found.last_index, segments = found.segments, frames = found.frames,
