Storage: a torn frame is not forgotten because another one follows

A directory of an earlier version can have two torn frames: a process was killed in a write, the next one read it back, synced its hard state behind it, acknowledged the entries, and was in a write itself when the power went. Each torn frame is judged by itself now.

Evidence: a_torn_frame_before_another_is_an_error failed on the code before (the directory opened with no entry) and passes.

--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -43,10 +43,10 @@
     pub(crate) found: Found,
     /// The frames that have entries.
     places: Vec<Place>,
-    torn: Option<TornFrame>,
+    torn: Vec<TornFrame>,
 }
 
-/// The last frame that can't be read.
+/// A frame at the end of a segment that can't be read.
 struct TornFrame {
     path: PathBuf,
     offset: u64,
@@ -91,7 +91,7 @@
                     self.found.torn_bytes += (buf.len() - offset) as u64;
                     let offset = offset as u64;
                     let torn = TornFrame { path, offset, has_successor: false, resumed_at: None };
-                    self.torn = Some(torn);
+                    self.torn.push(torn);
                     break;
                 }
                 Frame::Corrupt(cause) => return Err(Error::Corrupt(path, offset as u64, cause)),
@@ -105,7 +105,7 @@
         self.found.frames += 1;
         self.hard_state = batch.hard_state.unwrap_or(self.hard_state);
         let first = batch.entries.first().map(|e| e.index);
-        if let Some(torn) = &mut self.torn {
+        for torn in &mut self.torn {
             torn.has_successor = true;
             torn.resumed_at = torn.resumed_at.or(first);
         }
@@ -123,9 +123,9 @@
     ///
     /// [`Error::Corrupt`] if the log lacks something that may have been acknowledged.
     pub(crate) fn drop_covered(&mut self, dir: &Path, snapshot: &Snapshot) -> Result<(), Error> {
-        if let Some(torn) = self.torn.take().filter(|torn| !torn.is_harmless(snapshot)) {
+        if let Some(torn) = self.torn.iter().find(|torn| !torn.is_harmless(snapshot)) {
             let cause = "a frame is torn, but later segments exist".to_string();
-            return Err(Error::Corrupt(torn.path, torn.offset, cause));
+            return Err(Error::Corrupt(torn.path.clone(), torn.offset, cause));
         }
         self.entries.retain(|e| e.index > snapshot.index);
         drop_replaced(&mut self.entries, snapshot);
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -351,6 +351,22 @@
     assert!(error.to_string().contains("a frame is torn, but later segments exist"), "{error}");
 }
 
+/// Guards against a directory of an earlier version that opens without what it had acknowledged: each
+/// of two processes was killed in a write, and both writes are torn.
+#[test]
+fn a_torn_frame_before_another_is_an_error() {
+    let tmp = tempfile::tempdir().unwrap();
+    let mut store = formed(&open(tmp.path()));
+    write(&mut store, &entries(1..=4, 1));
+    write(&mut store, &entries(5..=6, 1));
+    write(&mut store, &snapshot_at(4, false));
+    write(&mut store, &entries(7..=7, 1));
+    drop(store);
+    segments(tmp.path()).iter().for_each(|path| tear(path));
+    let error = open(tmp.path()).open_group("g").unwrap_err();
+    assert!(error.to_string().contains("a frame is torn, but later segments exist"), "{error}");
+}
+
 /// Guards against directories that grow with each attempt to open them.
 #[test]
 fn a_refused_directory_stays_as_it_is() {
