Storage: an open removes what was not renamed into place

The open now removes temporary files of the group first.

Evidence: an_open_removes_what_was_not_renamed_into_place failed on the code before and passes.

--- a/crates/storage/src/data_dir.rs
+++ b/crates/storage/src/data_dir.rs
@@ -12,6 +12,8 @@
 const IDENTITY_FILE: &str = "identity.json";
 const RELEASE_FILE: &str = "release";
 const LOCK_FILE: &str = "lock";
+/// Ending of a file that is written and not yet renamed into place.
+const TEMPORARY: &str = "tmp";
 const FORMAT: u32 = 1;
 
 /// The identity of a data directory and the host that it belongs to.
@@ -187,7 +189,7 @@
 /// Replaces a file atomically: after a crash it has either the old or the new contents. The new ones are
 /// durable when this function returns. Returns the file, to which more can be appended.
 pub(crate) fn replace_file(files: &Files, path: &Path, contents: &[u8]) -> Result<OpenFile, Error> {
-    let tmp = path.with_extension("tmp");
+    let tmp = path.with_extension(TEMPORARY);
     let mut file = (files.create)(&tmp).map_err(Error::io(&tmp, "creating the file"))?;
     (file.append)(contents).map_err(Error::io(&tmp, "writing"))?;
     (file.sync)().map_err(Error::io(&tmp, "syncing"))?;
@@ -196,6 +198,16 @@
     Ok(file)
 }
 
+/// Removes files that were not renamed into place, and hold room that the disk may not have.
+pub(crate) fn remove_temporary(files: &Files, dir: &Path) -> Result<(), Error> {
+    let names = (files.list)(dir).map_err(Error::io(dir, "listing"))?;
+    let paths = names.iter().map(|name| dir.join(name));
+    for path in paths.filter(|path| path.extension().is_some_and(|ending| ending == TEMPORARY)) {
+        (files.remove)(&path).map_err(Error::io(&path, "deleting the temporary file"))?;
+    }
+    Ok(())
+}
+
 /// Syncs a directory, which makes created, renamed and deleted entries durable.
 pub(crate) fn sync_dir(files: &Files, path: &Path) -> Result<(), Error> {
     (files.sync_dir)(path).map_err(Error::io(path, "syncing the directory"))
--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -1,6 +1,6 @@
 //! The store of one group: a snapshot file and a log in numbered segment files.
 
-use crate::data_dir::{create_dir, replace_file, sync_dir};
+use crate::data_dir::{create_dir, remove_temporary, replace_file, sync_dir};
 use crate::replay::{append_batch, segment_path, Batch, Found, Replay};
 use crate::{frame, snapshot, Error, Files, OpenFile};
 use consensus::{Config, Entry, HardState, Index, Ready, Restored};
@@ -59,6 +59,7 @@
         create_dir(&files, path)?;
         // The entries that a snapshot covers are only dropped once its name is durable.
         sync_dir(&files, path)?;
+        remove_temporary(&files, path)?;
         let snapshot = snapshot::read(&files, &path.join(SNAPSHOT_FILE))?;
         let mut replay = Replay::read(&files, path)?;
         match &snapshot {
--- a/crates/storage/tests/recovery.rs
+++ b/crates/storage/tests/recovery.rs
@@ -367,6 +367,17 @@
     assert!(error.to_string().contains("a frame is torn, but later segments exist"), "{error}");
 }
 
+/// Guards against a disk that stays full with what the process itself could not finish.
+#[test]
+fn an_open_removes_what_was_not_renamed_into_place() {
+    let tmp = tempfile::tempdir().unwrap();
+    drop(log_in_two_segments(&open(tmp.path())));
+    let names = ["snapshot.tmp", "log-000000000001.tmp"];
+    names.iter().for_each(|name| fs::write(tmp.path().join("g").join(name), "partial").unwrap());
+    reopen(&open(tmp.path()));
+    assert!(names.iter().all(|name| !tmp.path().join("g").join(name).exists()));
+}
+
 /// Guards against directories that grow with each attempt to open them.
 #[test]
 fn a_refused_directory_stays_as_it_is() {
