Storage: what a kill leaves of a replaced log has no gap

Old segments that hold what nothing repeats are now removed newest first, each durably, so that a prefix of the log is left.

The log is written anew in frames of 1,024 entries, one at a time, with two empty ones behind: less memory at once, and no frame over the limit of a frame.

--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -69,7 +69,7 @@
         match self.log.term_at(prev_index) {
             Some(term) if term == prev_term => None,
             Some(_) if self.tuning.injected_bug == InjectedBug::SkipPreviousEntryCheck => None,
-            // None of the entries of that term match: the leader's log has another one in its place.
+            // Entries of that term may match further back, but seldom do: they are a deposed leader's.
             Some(term) => Some(self.before_term(prev_index, term)),
             None => Some(self.log.last_index()),
         }
--- a/crates/storage/src/data_dir.rs
+++ b/crates/storage/src/data_dir.rs
@@ -107,7 +107,7 @@
 
     /// Saves a release. It is durable when this function returns.
     pub fn save_release(&self, release: &Release) -> Result<(), Error> {
-        replace_file(&self.files, &self.path.join(RELEASE_FILE), &frame::encode(release)).map(drop)
+        replace_file(&self.files, &self.path.join(RELEASE_FILE), [frame::encode(release)]).map(drop)
     }
 
     /// Whether the directory has a store of the group `name`.
@@ -182,16 +182,21 @@
     let identity =
         Identity { format: FORMAT, member, host: host.to_string(), zone: zone.to_string() };
     let text = serde_json::to_string_pretty(&identity).expect("an identity is plain data");
-    replace_file(files, &dir.join(IDENTITY_FILE), text.as_bytes())?;
+    replace_file(files, &dir.join(IDENTITY_FILE), [text.into_bytes()])?;
     Ok(identity)
 }
 
 /// Replaces a file atomically: after a crash it has either the old or the new contents. The new ones are
 /// durable when this function returns. Returns the file, to which more can be appended.
-pub(crate) fn replace_file(files: &Files, path: &Path, contents: &[u8]) -> Result<OpenFile, Error> {
+pub(crate) fn replace_file<I>(files: &Files, path: &Path, parts: I) -> Result<OpenFile, Error>
+where
+    I: IntoIterator<Item = Vec<u8>>,
+{
     let tmp = path.with_extension(TEMPORARY);
     let mut file = (files.create)(&tmp).map_err(Error::io(&tmp, "creating the file"))?;
-    (file.append)(contents).map_err(Error::io(&tmp, "writing"))?;
+    for part in parts {
+        (file.append)(&part).map_err(Error::io(&tmp, "writing"))?;
+    }
     (file.sync)().map_err(Error::io(&tmp, "syncing"))?;
     (files.rename)(&tmp, path).map_err(Error::io(path, "renaming"))?;
     sync_dir(files, parent(path))?;
--- a/crates/storage/src/group.rs
+++ b/crates/storage/src/group.rs
@@ -70,36 +70,28 @@
             }
             None => {}
         }
-        let (hard_state, number) = (replay.hard_state, replay.segments.last().map_or(1, |n| *n));
-        let last_index = replay.last_index();
-        let batch = Batch { hard_state: Some(hard_state), entries: replay.entries };
-        let mut buf = Vec::new();
-        if snapshot.is_some() {
-            buf = frame::encode(&batch);
-            // With a frame behind it, damage to the log does not pass for an interrupted write.
-            let end = Batch { hard_state: Some(hard_state), entries: Vec::new() };
-            buf.extend(frame::encode(&end));
-        }
-        let file = replace_file(&files, &segment_path(path, number), &buf)?;
-        // These may be back after a power loss, but the new segment replaces all their entries.
-        for old in replay.segments.iter().filter(|old| **old != number) {
-            remove_segment(&files, path, *old)?;
-        }
+        let number = replay.segments.pop().unwrap_or(1);
+        let mut rewritten_bytes = 0;
+        let frames = replay.to_frames().inspect(|frame| rewritten_bytes += frame.len() as u64);
+        let frames = frames.filter(|_| snapshot.is_some());
+        let file = replace_file(&files, &segment_path(path, number), frames)?;
+        remove_segments(&files, path, &replay.segments, replay.dropped_replaced)?;
+        let hard_state = replay.hard_state;
         let store = GroupStore {
             files,
             path: path.to_path_buf(),
             file,
             number,
-            last_index,
+            last_index: replay.last_index(),
             closed: Vec::new(),
             hard_state,
-            found: Found { rewritten_bytes: buf.len() as u64, ..replay.found },
+            found: Found { rewritten_bytes, ..replay.found },
             pending: Batch::default(),
             unsynced: false,
             failed: false,
             sync: Box::new(|file| (file.sync)()),
         };
-        let entries = batch.entries;
+        let entries = replay.entries;
         Ok((store, snapshot.map(|snapshot| Restored { hard_state, snapshot, entries })))
     }
 
@@ -197,9 +189,8 @@
         let needed = |c: &ClosedSegment| !restored && c.last_index > covered;
         // Replay reads the segments in order, so only a prefix of them may be deleted.
         let keep_from = self.closed.iter().position(needed).unwrap_or(self.closed.len());
-        for old in self.closed.drain(..keep_from) {
-            remove_segment(&self.files, &self.path, old.number)?;
-        }
+        let old: Vec<u64> = self.closed.drain(..keep_from).map(|c| c.number).collect();
+        remove_segments(&self.files, &self.path, &old, restored)?;
         sync_dir(&self.files, &self.path)
     }
 
@@ -211,9 +202,22 @@
     }
 }
 
-fn remove_segment(files: &Files, dir: &Path, number: u64) -> Result<(), Error> {
-    let path = segment_path(dir, number);
-    (files.remove)(&path).map_err(Error::io(&path, "deleting the old segment"))
+/// Removes segments, given in ascending order. If they hold entries that nothing repeats, the newest is
+/// removed first, and durably before the next: those that a crash leaves must not have a gap.
+fn remove_segments(
+    files: &Files,
+    dir: &Path,
+    numbers: &[u64],
+    without_gap: bool,
+) -> Result<(), Error> {
+    for number in numbers.iter().rev() {
+        let path = segment_path(dir, *number);
+        (files.remove)(&path).map_err(Error::io(&path, "deleting the old segment"))?;
+        if without_gap {
+            sync_dir(files, dir)?;
+        }
+    }
+    Ok(())
 }
 
 fn create_segment(files: &Files, dir: &Path, number: u64) -> Result<OpenFile, Error> {
--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -7,6 +7,8 @@
 use std::path::{Path, PathBuf};
 
 const SEGMENT_PREFIX: &str = "log-";
+/// Most entries of a frame that an open writes.
+const REWRITTEN_FRAME_ENTRIES: usize = 1_024;
 
 /// The contents of one log frame, which is written at once.
 #[derive(Default, Serialize, Deserialize)]
@@ -15,6 +17,13 @@
     pub(crate) entries: Vec<Entry>,
 }
 
+/// A [`Batch`] of borrowed entries, which encodes to the same bytes.
+#[derive(Serialize)]
+struct BatchRef<'a> {
+    hard_state: Option<HardState>,
+    entries: &'a [Entry],
+}
+
 /// What an open found of a group's log, and what it did with it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Found {
@@ -44,6 +53,8 @@
     /// The frames that have entries.
     places: Vec<Place>,
     torn: Vec<TornFrame>,
+    /// Whether there were entries that a snapshot from the leader has replaced.
+    pub(crate) dropped_replaced: bool,
 }
 
 /// A frame at the end of a segment that can't be read.
@@ -128,7 +139,7 @@
             return Err(Error::Corrupt(torn.path.clone(), torn.offset, cause));
         }
         self.entries.retain(|e| e.index > snapshot.index);
-        drop_replaced(&mut self.entries, snapshot);
+        self.dropped_replaced = drop_replaced(&mut self.entries, snapshot);
         let expected = snapshot.index + 1..;
         let gap = expected.zip(&self.entries).find(|(index, entry)| *index != entry.index);
         if let Some((missing, entry)) = gap {
@@ -142,6 +153,15 @@
         Ok(())
     }
 
+    /// Encodes the log as it is to be written anew. The last frame repeats the one before it, so that
+    /// damage to any that is needed has a frame behind it and does not pass for an interrupted write.
+    pub(crate) fn to_frames(&self) -> impl Iterator<Item = Vec<u8>> + '_ {
+        let end: [&[Entry]; 2] = [&[], &[]];
+        let hard_state = Some(self.hard_state);
+        let chunks = self.entries.chunks(REWRITTEN_FRAME_ENTRIES).chain(end);
+        chunks.map(move |entries| frame::encode(&BatchRef { hard_state, entries }))
+    }
+
     /// Index of the last entry, or 0 without entries.
     pub(crate) fn last_index(&self) -> Index {
         self.entries.last().map_or(0, |e| e.index)
@@ -197,9 +217,12 @@
 }
 
 /// Drops entries that a snapshot from the leader has replaced: terms never decrease along a log. They
-/// are there if the process ended between the write of the snapshot and that of the new segment.
-fn drop_replaced(entries: &mut Vec<Entry>, snapshot: &Snapshot) {
-    if entries.first().is_some_and(|first| first.term < snapshot.term) {
+/// are there if the process ended between the write of the snapshot and the removal of the old log.
+/// Entries of a later term may stay: no majority has them. Returns whether any were dropped.
+fn drop_replaced(entries: &mut Vec<Entry>, snapshot: &Snapshot) -> bool {
+    let is_replaced = entries.first().is_some_and(|first| first.term < snapshot.term);
+    if is_replaced {
         entries.clear();
     }
+    is_replaced
 }
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -23,5 +23,5 @@
 
 /// Atomically replaces the snapshot at `path`. It is durable when this function returns.
 pub(crate) fn write(files: &Files, path: &Path, snapshot: &Snapshot) -> Result<(), Error> {
-    replace_file(files, path, &frame::encode(snapshot)).map(drop)
+    replace_file(files, path, [frame::encode(snapshot)]).map(drop)
 }
