Test: on some simulated disks a file's sync does not keep its name

DEPLOY.md says that a new file persists after its own sync; on other disks its name takes a sync of the directory. Half of the disks now need it. Found by the review: no test noticed a rotate that doesn't sync the directory after a new segment.

--- a/crates/storage/tests/support/mod.rs
+++ b/crates/storage/tests/support/mod.rs
@@ -36,6 +36,8 @@
     changes_left: Option<u32>,
     /// One in so many syncs fails; none if 0.
     failing_syncs: u32,
+    /// Whether the sync of a new file makes its name durable as well, as some file systems do.
+    syncs_names: bool,
     rng: Rng,
 }
 
@@ -60,6 +62,7 @@
     pub(crate) fn new(seed: u64) -> SimDisk {
         let names = ["/", "/data"].map(|path| (PathBuf::from(path), Node::Directory));
         let names = BTreeMap::from(names);
+        let mut rng = Rng::with_seed(seed);
         SimDisk(Arc::new(Mutex::new(Disk {
             contents: Vec::new(),
             durable_names: names.clone(),
@@ -67,7 +70,8 @@
             process: 0,
             changes_left: None,
             failing_syncs: 0,
-            rng: Rng::with_seed(seed),
+            syncs_names: rng.bool(),
+            rng,
         })))
     }
 
@@ -272,7 +276,9 @@
                 }
                 content.durable[from..to].copy_from_slice(&content.bytes[from..to]);
             }
-            // A new file persists after its own sync.
+            if !disk.syncs_names {
+                return Ok(());
+            }
             let is_new = |(path, node): (&PathBuf, &Node)| {
                 (*node == Node::File(id) && !disk.durable_names.contains_key(path))
                     .then(|| (path.clone(), *node))
