--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -2,10 +2,13 @@
 //!
 //! A [`DataDir`] is locked by one process at a time and has a random identity, so a host with a
 //! wiped data directory is a new member. A [`GroupStore`] holds one group. Every call of
-//! [`GroupStore::append`] writes one frame with one checksum, so a crash can only tear the last
+//! [`GroupStore::sync`] writes at most one frame with one checksum, so a crash can only tear the last
 //! frame, whose contents were never acknowledged. A torn last frame is dropped; any other
 //! mismatch is reported as an error.
 //!
+//! What an open returns is on the disk, whatever the process before it had synced: the caller acts on
+//! it.
+//!
 //! ```
 //! # use consensus::{Config, Member, Role};
 //! # let tmp = tempfile::tempdir().unwrap();
